Send what one turn has for one endpoint as one call with several messages

The network code made a call of each: refused for want of slots or above the limit, which refused calls use up too.

The wait that an answer with 200 to several messages may carry binds too, so the module now heeds a wait with any outcome. A call is given up as a whole: one message of it that is called off waits for the others, lest a repeat stand beside the first copy.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -264,8 +264,7 @@
         Call& call = calls_.at(call_id);
         Endpoint& endpoint = endpoints_.at(call.endpoint);
         Route& route = route_of(endpoint);  // each message of a call may be told its own wait
-        if (event.outcome == Outcome::TurnedAway)
-            route.wait_until = std::max(route.wait_until, now + event.wait);
+        if (event.wait > Time(0)) route.wait_until = std::max(route.wait_until, now + event.wait);
         if (!call.judged && event.outcome != Outcome::NotSent) {
             call.judged = true;
             learn(call, event.outcome, event.report, event.rtt, now);
--- a/src/net/answer.cpp
+++ b/src/net/answer.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <charconv>
+#include <map>
+
+#include "settings.hpp"
 
 namespace lockgw {
 
@@ -35,6 +38,26 @@
     return value >= 0 && value <= most ? std::optional(value) : std::nullopt;
 }
 
+Outcome outcome_of(const std::string& state) {
+    if (state == "ok") return Outcome::Served;
+    if (state == "error") return Outcome::ServerError;
+    if (state == "later") return Outcome::TurnedAway;
+    return state == "gone" || state == "exhausted" ? Outcome::NotSent : Outcome::Unreadable;
+}
+
+/// How each message ended, as far as it can be read; a message told of twice has no sure end.
+std::map<cometspoke::MessageId, std::string> states_of(const std::string& body) try {
+    std::map<cometspoke::MessageId, std::string> states;
+    for (const auto& one : nlohmann::json::parse(body)) {
+        const auto id = cometspoke::settings::id_of(one.at("id").get<std::string>());
+        const auto [told, fresh] = states.emplace(id, one.at("state").get<std::string>());
+        if (!fresh) told->second.clear();
+    }
+    return states;
+} catch (const std::exception&) {
+    return {};
+}
+
 }  // namespace
 
 std::optional<cometspoke::LoadReport> load_report_of(std::string_view text) {
@@ -56,7 +79,8 @@
 }
 
 void Answer::next() {
-    parser_ = std::make_unique<http::response_parser<DiscardedBody>>();
+    parser_ = std::make_unique<http::response_parser<OptionalBody>>();
+    parser_->get().body().kept = keep_body_;
     parser_->eager(true);
     parser_->header_limit(kMostHead);
     parser_->body_limit(kMostBody);
@@ -113,6 +137,11 @@
     return state_ = State::Whole;
 }
 
+Time Answer::told_wait() const {
+    const auto wait = decimal(text_of(parser_->get().base()[http::field::retry_after]), 1e9);
+    return Time(wait ? static_cast<Time::rep>(std::min(*wait * 1e6, 1e15)) : 0);
+}
+
 OutcomeEvent Answer::outcome(bool reports, Time longest_wait) const {
     OutcomeEvent event;
     const auto& head = parser_->get().base();
@@ -120,13 +149,10 @@
         case 200:
             event.outcome = Outcome::Served, event.terminal = true;
             break;
-        case 429: {
+        case 429:
             event.outcome = Outcome::TurnedAway;
-            const auto wait = decimal(text_of(head[http::field::retry_after]), 1e9);
-            if (wait) event.wait = Time(static_cast<Time::rep>(std::min(*wait * 1e6, 1e15)));
-            event.wait = std::min(event.wait, longest_wait);
+            event.wait = std::min(told_wait(), longest_wait);
             break;
-        }
         case 503:
             event.outcome = head["X-Over-Slots"] == "1" ? Outcome::NotSent : Outcome::TurnedAway;
             break;
@@ -143,4 +169,22 @@
     return event;
 }
 
+std::vector<OutcomeEvent> Answer::outcomes(
+    const std::vector<cometspoke::MessageId>& messages, bool reports, Time longest_wait) const {
+    OutcomeEvent event = outcome(reports, longest_wait);
+    const unsigned status = parser_->get().result_int();
+    if (status == 400 || status == 413) event.outcome = Outcome::NotSent;  // none of them has run
+    std::vector<OutcomeEvent> all(messages.size(), event);
+    if (status != 200) return all;
+    const auto states = states_of(parser_->get().body().text);
+    for (std::size_t i = 0; i < messages.size(); ++i) {
+        const auto told = states.find(messages[i]);
+        const std::string state = told != states.end() ? told->second : "";
+        all[i].outcome = outcome_of(state);
+        all[i].terminal = state == "ok" || state == "gone";
+        all[i].wait = std::min(told_wait(), longest_wait);  // it binds however the messages fared
+    }
+    return all;
+}
+
 }  // namespace lockgw
--- a/src/net/answer.hpp
+++ b/src/net/answer.hpp
@@ -3,33 +3,42 @@
 /// Targets are other firms' systems: what they send may be noise, without end, or more than belongs to it.
 #pragma once
 
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cometspoke/sender.hpp"
 
 namespace lockgw {
 
-/// A body means nothing: it is counted, not kept.
-struct DiscardedBody {
-    struct value_type {};
+/// The body of an answer to one message means nothing: it is counted, and kept only where it is asked for.
+struct OptionalBody {
+    struct value_type {
+        bool kept = false;
+        std::string text;
+    };
     struct reader {
         template <bool isRequest, class Fields>
-        reader(boost::beast::http::header<isRequest, Fields>&, value_type&) {}
+        reader(boost::beast::http::header<isRequest, Fields>&, value_type& body) : body_(body) {}
         template <class Length>
         void init(const Length&, boost::beast::error_code& failed) {
             failed = {};
         }
         template <class Buffers>
-        std::size_t put(const Buffers& bytes, boost::beast::error_code& failed) {
+        std::size_t put(const Buffers& buffers, boost::beast::error_code& failed) {
             failed = {};
-            return boost::beast::buffer_bytes(bytes);
+            if (body_.kept) body_.text += boost::beast::buffers_to_string(buffers);
+            return boost::beast::buffer_bytes(buffers);
         }
         void finish(boost::beast::error_code& failed) { failed = {}; }
+
+    private:
+        value_type& body_;
     };
 };
 
@@ -41,7 +50,8 @@
         Spoilt,  ///< cannot be read; nothing behind it can
     };
 
-    Answer() { next(); }
+    /// `keep_body`: to a call with several messages; the body tells how each one ended.
+    explicit Answer(bool keep_body = false) : keep_body_(keep_body) { next(); }
 
     State feed(std::string_view bytes);
     /// The connection ended: the end of an answer that tells no length.
@@ -56,14 +66,19 @@
     bool reusable() const { return state_ == State::Whole && bytes_.empty() && parser_->get().keep_alive(); }
     /// What the head says, by the protocol's table; `reports`: it may carry a load report.
     cometspoke::OutcomeEvent outcome(bool reports, cometspoke::Time longest_wait) const;
+    /// The same for each message of a call with several, in the order of `messages`.
+    std::vector<cometspoke::OutcomeEvent> outcomes(const std::vector<cometspoke::MessageId>& messages,
+        bool reports, cometspoke::Time longest_wait) const;
 
 private:
     void next();
     void read_first_line();
+    cometspoke::Time told_wait() const;
     State spoilt() { return state_ = State::Spoilt; }
 
+    bool keep_body_;
     // on the heap, for it can be neither copied nor assigned
-    std::unique_ptr<boost::beast::http::response_parser<DiscardedBody>> parser_;
+    std::unique_ptr<boost::beast::http::response_parser<OptionalBody>> parser_;
     std::string bytes_;  // come and not read yet
     std::optional<unsigned> first_line_;
     int interim_ = 0;  // answers with 1xx so far
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -134,7 +134,8 @@
         entry.destination = target.destination;
         entry.rate = target.rate;
         entry.condition = target.condition;
-        if (target.condition == Condition::Ready) targets_.set_address(*endpoint, target.address);
+        if (target.condition == Condition::Ready)
+            targets_.set_address(*endpoint, target.address, config_.settings.kinds[entry.kind].per_call);
         if (target.condition == Condition::Draining) targets_.close_idle(*endpoint);
         event.entries.push_back(entry);
     }
@@ -189,8 +190,16 @@
     turn_due_ = false;
     const std::vector<Action> actions = sender_.decide(now());
     answer_newcomers(actions);
+    std::vector<Attempt> attempts;  // together: those to one target may share a call
     for (const Action& action : actions)
-        guarded([&] { std::visit([this](const auto& one) { carry_out(one); }, action); });
+        if (const auto* send = std::get_if<Send>(&action)) guarded([&] { begin(*send, attempts); });
+    bool sent = false;
+    for (const Action& action : actions) {
+        if (!std::holds_alternative<Send>(action))
+            guarded([&] { std::visit([this](const auto& one) { carry_out(one); }, action); });
+        else if (!std::exchange(sent, true))
+            guarded([&] { targets_.start(std::move(attempts)); });
+    }
 }
 
 /// A fault in one action must not take the others of its turn with it, the timer least of all.
@@ -224,7 +233,8 @@
     return busy(kRoomWait);
 }
 
-void Forwarder::carry_out(const Send& send) {
+/// On record before it goes out: after a crash it may have run.
+void Forwarder::begin(const Send& send, std::vector<Attempt>& attempts) {
     const std::string* target = directory_.name_of(send.endpoint);
     const Entry* entry = journal_.find(send.message);
     const std::uint32_t attempt = entry != nullptr ? entry->attempts : 0;
@@ -236,7 +246,7 @@
         event.outcome = Outcome::NotSent;
         return observe(event);
     }
-    targets_.start(
+    attempts.push_back(
         {send.message, send.endpoint, attempt, entry->message.key, entry->message.body, send.time_out});
 }
 void Forwarder::carry_out(const CancelAttempt& cancel) { targets_.cancel(cancel.message, cancel.attempt); }
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -46,7 +46,8 @@
     void guarded(Step step);
     void stop_if_done();
 
-    void carry_out(const cometspoke::Send& send);
+    void begin(const cometspoke::Send& send, std::vector<Attempt>& attempts);
+    void carry_out(const cometspoke::Send&) {}  // all of a turn's together
     void carry_out(const cometspoke::CancelAttempt& cancel);
     void carry_out(const cometspoke::Refuse& refuse);
     void carry_out(const cometspoke::Fail& fail);
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -3,6 +3,8 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
@@ -22,9 +24,10 @@
 
 namespace {
 
-constexpr auto kAnswerWait = 1s;   // from the first byte of an answer to its last
-constexpr auto kLeastWait = 60s;   // a told wait is believed so far,
-constexpr int kWaitDeadlines = 5;  // or so many of the longest deadlines
+constexpr auto kAnswerWait = 1s;                   // from the first byte of an answer to its last
+constexpr auto kLeastWait = 60s;                   // a told wait is believed so far,
+constexpr int kWaitDeadlines = 5;                  // or so many of the longest deadlines
+constexpr std::size_t kMostBatchBody = 64 * 1024;  // the protocol's limit
 
 /// No outage lasts so long that a longer wait would be worth heeding, and one spoilt figure must not shut a
 /// destination for good.
@@ -34,6 +37,29 @@
     return std::max<Time>(kLeastWait, kWaitDeadlines * longest);
 }
 
+std::string base64(const std::string& bytes) {
+    using namespace boost::archive::iterators;
+    using Digits = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    std::string text(Digits(bytes.begin()), Digits(bytes.end()));
+    return text.append((3 - bytes.size() % 3) % 3, '=');
+}
+
+/// Of an attempt in the body of a call with several.
+std::size_t size_in_batch(const Attempt& attempt) {
+    constexpr std::size_t names = 64;  // with the id, quotes and commas
+    return names + 2 * attempt.key.size() + (attempt.body.size() + 2) / 3 * 4;
+}
+
+std::string batch_of(const std::vector<Attempt>& attempts) {
+    Json batch = Json::array();
+    for (const Attempt& attempt : attempts) {
+        Json one{{"id", cometspoke::settings::id_text(attempt.message)}, {"body", base64(attempt.body)}};
+        if (!attempt.key.empty()) one["key"] = attempt.key;
+        batch.push_back(std::move(one));
+    }
+    return batch.dump();
+}
+
 }  // namespace
 
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
@@ -52,17 +78,18 @@
     EndpointId endpoint() const { return endpoint_; }
     const Tcp::endpoint& address() const { return address_; }
 
-    void start(Call call) {
+    void start(std::vector<Attempt> attempts) {
         begun_ = Clock::now();
         ++turn_;
         written_ = false;
-        call_ = std::move(call);
-        answer_ = Answer();
+        call_ = std::move(attempts);
+        given_up_.assign(call_.size(), std::nullopt);
+        answer_ = Answer(several());
         if (socket_.is_open()) {
             socket_.cancel();  // the watch over an idle connection
             return write();
         }
-        wait_until(begun_ + std::min<Clock::duration>(call_->time_out, owner_.config_.connect_timeout));
+        wait_until(begun_ + std::min<Clock::duration>(longest(), owner_.config_.connect_timeout));
         socket_.async_connect(address_, guarded([this](auto failed) {
             if (failed) return end(Outcome::NoConnection);
             socket_.set_option(Tcp::no_delay(true), failed);
@@ -71,7 +98,13 @@
         }));
     }
 
-    void cancel() { end(Outcome::CalledOff); }
+    /// The call goes on while it carries another message that is waited for: to repeat this one before the
+    /// connection is closed would put two copies side by side.
+    void cancel(MessageId message) {
+        for (std::size_t i = 0; i < call_.size(); ++i)
+            if (call_[i].message == message && !given_up_[i]) given_up_[i] = Outcome::CalledOff;
+        if (!waited_for()) end(Outcome::CalledOff);
+    }
 
     /// Idle: a target's close is noticed at once, and it is left before the target may close it.
     void idle_for(Clock::duration span) {
@@ -101,20 +134,35 @@
         }));
     }
     void expire() {
-        if (!call_) return owner_.drop(shared_from_this());
+        if (call_.empty()) return owner_.drop(shared_from_this());
         end(!written_ ? Outcome::NoConnection : answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
     }
 
+    bool several() const { return call_.size() > 1; }
+    bool waited_for() const {
+        return std::any_of(given_up_.begin(), given_up_.end(), [](const auto& outcome) { return !outcome; });
+    }
+    Time longest() const {
+        Time longest{0};
+        for (const Attempt& attempt : call_) longest = std::max(longest, attempt.time_out);
+        return longest;
+    }
+
     void write() {
-        const auto left = begun_ + call_->time_out - Clock::now();
-        wait_until(begun_ + call_->time_out);
-        request_ = {http::verb::post, "/v1/messages", 11};
+        const auto left = begun_ + longest() - Clock::now();
+        wait_until(begun_ + longest());
+        request_ = {http::verb::post, several() ? "/v1/messages:batch" : "/v1/messages", 11};
         request_.set(http::field::host, owner_.config_.name);
-        request_.set("X-Call-Id", cometspoke::settings::id_text(call_->message));
-        if (!call_->key.empty()) request_.set("Idempotency-Key", call_->key);
         const auto budget = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
         request_.set("X-Budget-Ms", std::to_string(std::max<std::int64_t>(1, budget)));
-        request_.body() = std::move(call_->body);
+        if (several()) {
+            request_.body() = batch_of(call_);
+        } else {
+            Attempt& only = call_.front();
+            request_.set("X-Call-Id", cometspoke::settings::id_text(only.message));
+            if (!only.key.empty()) request_.set("Idempotency-Key", only.key);
+            request_.body() = std::move(only.body);
+        }
         request_.content_length(request_.body().size());
         http::async_write(socket_, request_, guarded([this](auto failed) {
             if (failed) return end(Outcome::NoConnection);
@@ -142,12 +190,12 @@
                 break;
         }
         // An answer that has begun must end soon: it holds a slot, and some never end.
-        if (call_ && first && !answer_.empty())
-            wait_until(std::min(begun_ + call_->time_out, Clock::now() + kAnswerWait));
+        if (!call_.empty() && first && !answer_.empty())
+            wait_until(std::min<Clock::time_point>(begun_ + longest(), Clock::now() + kAnswerWait));
         // Delivered, and the head is read: the outcome must not wait for a body that means nothing.
-        if (call_ && answer_.says_delivered() && answer_.head_read()) {
+        if (!call_.empty() && !several() && answer_.says_delivered() && answer_.head_read()) {
             owner_.finishing(shared_from_this());
-            deliver(outcome());
+            deliver(outcomes());
         }
         read();
     }
@@ -157,33 +205,43 @@
         end(answer_.empty() ? Outcome::ConnectionLost : Outcome::Unreadable);
     }
 
-    OutcomeEvent outcome() const { return answer_.outcome(owner_.config_.reports, owner_.longest_wait_); }
+    std::vector<OutcomeEvent> outcomes() const {
+        const bool reports = owner_.config_.reports;
+        if (!several()) return {answer_.outcome(reports, owner_.longest_wait_)};
+        std::vector<MessageId> messages;
+        for (const Attempt& attempt : call_) messages.push_back(attempt.message);
+        return answer_.outcomes(messages, reports, owner_.longest_wait_);
+    }
     void finish() {
         const auto self = shared_from_this();
-        const auto call = std::exchange(call_, std::nullopt);
-        const OutcomeEvent told = outcome();
+        auto told = call_.empty() ? std::vector<OutcomeEvent>() : outcomes();
+        const auto call = std::exchange(call_, {});
         // first: the decision on this outcome may want the connection
         answer_.reusable() ? owner_.now_idle(self) : owner_.drop(self);
-        if (call) report(*call, told);
+        report(call, std::move(told));
     }
-    /// Nothing more is read: what has come so far decides. A first line of 200 is true by itself; no other
-    /// status proves anything unless the whole answer is sound.
+    /// Nothing more is read: what has come so far decides. A first line of 200 is true by itself where it
+    /// speaks of one message; nothing else proves anything unless the whole answer is sound.
     void end(Outcome otherwise) {
-        OutcomeEvent event;
-        event.outcome = otherwise;
-        if (written_ && answer_.says_delivered()) event.outcome = Outcome::Served, event.terminal = true;
+        std::vector<OutcomeEvent> told(call_.size());
+        for (std::size_t i = 0; i < told.size(); ++i) {
+            told[i].outcome = given_up_[i].value_or(otherwise);
+            if (written_ && !several() && answer_.says_delivered())
+                told[i].outcome = Outcome::Served, told[i].terminal = true;
+        }
         owner_.drop(shared_from_this());
-        deliver(event);
-    }
-    void deliver(const OutcomeEvent& event) {
-        if (const auto call = std::exchange(call_, std::nullopt)) report(*call, event);
+        deliver(std::move(told));
     }
-    void report(const Call& call, OutcomeEvent event) {
-        event.message = call.message;
-        event.endpoint = call.endpoint;
-        event.attempt = call.attempt;
-        event.rtt = std::chrono::duration_cast<Time>(Clock::now() - begun_);
-        owner_.ended(shared_from_this(), event);
+    void deliver(std::vector<OutcomeEvent> told) { report(std::exchange(call_, {}), std::move(told)); }
+    void report(const std::vector<Attempt>& call, std::vector<OutcomeEvent> told) {
+        if (call.empty()) return;
+        for (std::size_t i = 0; i < call.size(); ++i) {
+            told[i].message = call[i].message;
+            told[i].endpoint = call[i].endpoint;
+            told[i].attempt = call[i].attempt;
+            told[i].rtt = std::chrono::duration_cast<Time>(Clock::now() - begun_);
+        }
+        owner_.ended(told);
     }
 
     Targets& owner_;
@@ -192,8 +250,9 @@
     Tcp::socket socket_;
     asio::steady_timer timer_;
     std::uint64_t turn_ = 0;
-    std::optional<Call> call_;  // until its outcome is told
-    bool written_ = false;      // the call's last byte
+    std::vector<Attempt> call_;  // until their outcomes are told
+    std::vector<std::optional<Outcome>> given_up_;
+    bool written_ = false;  // the call's last byte
     Clock::time_point begun_{};
     http::request<http::string_body> request_;
     Answer answer_;
@@ -207,42 +266,68 @@
       done_(std::move(done)) {}
 Targets::~Targets() = default;
 
-void Targets::set_address(EndpointId endpoint, const Tcp::endpoint& address) {
-    const auto [found, fresh] = addresses_.emplace(endpoint, address);
-    if (fresh || found->second == address) return;
-    found->second = address;
+void Targets::set_address(EndpointId endpoint, const Tcp::endpoint& address, std::size_t per_call) {
+    const auto [found, fresh] = places_.emplace(endpoint, Place{address, per_call});
+    found->second.per_call = per_call;
+    if (fresh || found->second.address == address) return;
+    found->second.address = address;
     close_idle(endpoint);
 }
 
 /// Another target may get its address: no connection made to the one that has gone may carry its calls.
 void Targets::forget(EndpointId endpoint) {
-    addresses_.erase(endpoint);
+    places_.erase(endpoint);
     close_idle(endpoint);
 }
 
-void Targets::start(Call call) {
-    Connection connection = take_idle(call.endpoint);
-    const auto address = addresses_.find(call.endpoint);
+void Targets::start(std::vector<Attempt> attempts) {
+    std::map<EndpointId, std::vector<Attempt>> calls;  // one for each target that is not full yet
+    std::map<EndpointId, std::size_t> bytes;
+    for (Attempt& attempt : attempts) {
+        const auto place = places_.find(attempt.endpoint);
+        const std::size_t most = place != places_.end() ? place->second.per_call : 1;
+        const EndpointId endpoint = attempt.endpoint;
+        const std::size_t size = size_in_batch(attempt);
+        if (bytes[endpoint] + size > kMostBatchBody)
+            start_call(std::exchange(calls[endpoint], {})), bytes[endpoint] = 0;
+        bytes[endpoint] += size;
+        calls[endpoint].push_back(std::move(attempt));
+        if (calls[endpoint].size() >= most)
+            start_call(std::exchange(calls[endpoint], {})), bytes[endpoint] = 0;
+    }
+    for (auto& [endpoint, call] : calls) start_call(std::move(call));
+}
+
+void Targets::start_call(std::vector<Attempt> attempts) {
+    if (attempts.empty()) return;
+    const EndpointId endpoint = attempts.front().endpoint;
+    Connection connection = take_idle(endpoint);
+    const auto place = places_.find(endpoint);
     if (!connection) {
-        if (address == addresses_.end() || !make_room()) return not_sent(call);
-        connection = std::make_shared<TargetConnection>(*this, call.endpoint, address->second);
+        if (place == places_.end() || !make_room()) {
+            for (const Attempt& attempt : attempts) not_sent(attempt);
+            return;
+        }
+        connection = std::make_shared<TargetConnection>(*this, endpoint, place->second.address);
     }
-    calls_.emplace(std::pair(call.message, call.attempt), connection);
-    connection->start(std::move(call));
+    for (const Attempt& attempt : attempts)
+        attempts_.emplace(std::pair(attempt.message, attempt.attempt), connection);
+    ++calls_;
+    connection->start(std::move(attempts));
 }
 
-void Targets::not_sent(const Call& call) {
+void Targets::not_sent(const Attempt& attempt) {
     OutcomeEvent event;
-    event.message = call.message;
-    event.endpoint = call.endpoint;
-    event.attempt = call.attempt;
+    event.message = attempt.message;
+    event.endpoint = attempt.endpoint;
+    event.attempt = attempt.attempt;
     event.outcome = Outcome::NotSent;
     asio::post(io_, [this, event] { done_(event); });
 }
 
 void Targets::cancel(MessageId message, std::uint32_t attempt) {
-    const auto found = calls_.find({message, attempt});
-    if (found != calls_.end()) Connection(found->second)->cancel();
+    const auto found = attempts_.find({message, attempt});
+    if (found != attempts_.end()) Connection(found->second)->cancel(message);
 }
 
 void Targets::close_idle(EndpointId endpoint) {
@@ -265,10 +350,10 @@
 
 void Targets::now_idle(const Connection& connection) {
     std::erase(finishing_, connection);
-    const auto address = addresses_.find(connection->endpoint());
+    const auto place = places_.find(connection->endpoint());
     // a tenth before the told limit: a request that crosses the target's close ends as a reset
     const auto span = config_.settings.conn_idle * 9 / 10;
-    if (address == addresses_.end() || address->second != connection->address() || span <= Time(0))
+    if (place == places_.end() || place->second.address != connection->address() || span <= Time(0))
         return connection->close();
     idle_.push_back(connection);
     connection->idle_for(span);
@@ -284,18 +369,18 @@
 
 /// Under the limit of descriptors: an idle connection goes first, then one whose call has its outcome.
 bool Targets::make_room() {
-    if (calls_.size() + idle_.size() + finishing_.size() < most_) return true;
+    if (calls_ + idle_.size() + finishing_.size() < most_) return true;
     if (!idle_.empty())
         drop(Connection(idle_.front()));
     else if (!finishing_.empty())
         drop(Connection(finishing_.front()));
-    return calls_.size() + idle_.size() + finishing_.size() < most_;
+    return calls_ + idle_.size() + finishing_.size() < most_;
 }
 
-void Targets::ended(const Connection& connection, OutcomeEvent outcome) {
-    const auto found = calls_.find({outcome.message, outcome.attempt});
-    if (found != calls_.end() && found->second == connection) calls_.erase(found);
-    done_(std::move(outcome));
+void Targets::ended(const std::vector<OutcomeEvent>& outcomes) {
+    --calls_;
+    for (const OutcomeEvent& outcome : outcomes) attempts_.erase({outcome.message, outcome.attempt});
+    for (const OutcomeEvent& outcome : outcomes) done_(outcome);
 }
 
 }  // namespace lockgw
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -1,6 +1,7 @@
 /// Calls to targets over kept-alive connections, one call at a time on each.
 ///
-/// It maps what happened to an Outcome and repeats nothing by itself.
+/// What goes to one target in one turn travels as one call, as far as the target takes several messages in
+/// one. It maps what happened to an Outcome and repeats nothing by itself.
 #pragma once
 
 #include <array>
@@ -17,7 +18,7 @@
 using cometspoke::EndpointId;
 using cometspoke::MessageId;
 
-struct Call {
+struct Attempt {
     MessageId message = 0;
     EndpointId endpoint = 0;
     std::uint32_t attempt = 0;
@@ -34,12 +35,13 @@
     Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done);
     ~Targets();
 
-    void set_address(EndpointId endpoint, const Tcp::endpoint& address);
+    /// `per_call`: how many messages one call to it may carry.
+    void set_address(EndpointId endpoint, const Tcp::endpoint& address, std::size_t per_call);
     /// Nothing new goes there; calls that are out are waited for.
     void forget(EndpointId endpoint);
-    /// Its outcome comes by Done, never from within this call.
-    void start(Call call);
-    /// Its outcome comes at once.
+    /// All attempts of one turn. Each one's outcome comes by Done, never from within this call.
+    void start(std::vector<Attempt> attempts);
+    /// Its outcome comes once no other message of its call is waited for: a call is given up as a whole.
     void cancel(MessageId message, std::uint32_t attempt);
     void close_idle(EndpointId endpoint);
 
@@ -49,11 +51,12 @@
 
     Connection take_idle(EndpointId endpoint);
     bool make_room();
-    void not_sent(const Call& call);
+    void start_call(std::vector<Attempt> attempts);
+    void not_sent(const Attempt& attempt);
     void now_idle(const Connection& connection);
     void finishing(const Connection& connection);
     void drop(const Connection& connection);
-    void ended(const Connection& connection, cometspoke::OutcomeEvent outcome);
+    void ended(const std::vector<cometspoke::OutcomeEvent>& outcomes);
 
     asio::io_context& io_;
     const Config& config_;
@@ -61,8 +64,13 @@
     std::size_t most_;
     Done done_;
     std::array<char, 16 * 1024> in_;  // of the connection that is read just now
-    std::map<EndpointId, Tcp::endpoint> addresses_;
-    std::map<std::pair<MessageId, std::uint32_t>, Connection> calls_;
+    struct Place {
+        Tcp::endpoint address;
+        std::size_t per_call = 1;
+    };
+    std::map<EndpointId, Place> places_;
+    std::map<std::pair<MessageId, std::uint32_t>, Connection> attempts_;
+    std::size_t calls_ = 0;              // connections that carry one
     std::vector<Connection> idle_;       // the one used last stands last
     std::vector<Connection> finishing_;  // their calls have an outcome, and their answers go on
 };
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -86,6 +86,79 @@
     }
 }
 
+// What waits for one target goes out in one turn: as one call where the settings allow it.
+class BatchTest : public TargetTest {
+protected:
+    /// Starts with one slot that `first` holds, hands the others in, and frees the slot: they go as one call.
+    Exchange batch_of(const std::vector<std::pair<std::string, std::string>>& others) {
+        node.config()["settings"]["family_info"]["per_call"] = {3};
+        start_with_one_slot();
+        Client client = node.client();
+        EXPECT_EQ(enqueue(client, id), "+OK");
+        const Exchange first = target.next();
+        for (const auto& [one, kind] : others) EXPECT_EQ(enqueue(client, one, kind), "+OK");
+        first.answer(200);
+        return target.next();
+    }
+    static void answer(const Exchange& call, const Json& states, const std::string& headers = "") {
+        const std::string body = states.dump();
+        call.write("HTTP/1.1 200 X\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
+                   "\r\n\r\n" + body);
+    }
+    const std::string a = "00000000000000aa", b = "00000000000000bb", c = "00000000000000cc";
+};
+
+TEST_F(BatchTest, CarriesWhatOneTurnSends) {
+    const Exchange call = batch_of({{a, "keyed"}, {b, "unsafe"}, {c, "safe"}});
+    EXPECT_EQ(call.request.target(), "/v1/messages:batch");
+    EXPECT_GT(std::stoi(call.header("X-Budget-Ms")), 0);
+    const Json sent = Json::parse(call.request.body());
+    ASSERT_EQ(sent.size(), 3u);
+    EXPECT_EQ(sent[0], (Json{{"id", a}, {"key", "5c0f6e1a2b3d4c59"}, {"body", "Qk9EWQ=="}}));
+    EXPECT_EQ(sent[1]["id"], b);
+    EXPECT_EQ(sent[2]["id"], c);
+    answer(
+        call, {{{"id", a}, {"state", "ok"}}, {{"id", b}, {"state", "error"}}, {{"id", c}, {"state", "ok"}}});
+    // the fragile one may have run: it is over, and nothing comes again
+    EXPECT_EQ(notices(agent_request("/reports"))[0], (Json{{"ref", b}, {"result", "dead"}}));
+    EXPECT_TRUE(target.none_within(300ms));
+}
+
+TEST_F(BatchTest, ATurnedAwayMessageWaitsAsLongAsTold) {
+    const Exchange call = batch_of({{a, "safe"}, {b, "unsafe"}});
+    const auto told = Clock::now();
+    answer(call, {{{"id", a}, {"state", "ok"}}, {{"id", b}, {"state", "later"}}}, "Retry-After: 0.7\r\n");
+    const Exchange again = target.next();
+    EXPECT_EQ(again.header("X-Call-Id"), b);
+    EXPECT_GE(Clock::now() - told, 700ms);
+    again.answer(200);
+}
+
+// A wait binds however the messages fared that it came with.
+TEST_F(BatchTest, AWaitBindsAlsoWhereAllWereDelivered) {
+    const Exchange call = batch_of({{a, "safe"}, {b, "safe"}});
+    const auto told = Clock::now();
+    answer(call, {{{"id", a}, {"state", "ok"}}, {{"id", b}, {"state", "ok"}}}, "Retry-After: 0.7\r\n");
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, c), "+OK");
+    target.next().answer(200);
+    EXPECT_GE(Clock::now() - told, 700ms);
+}
+
+// A first line of 200 says nothing of one message among several.
+TEST_F(BatchTest, AnUnreadableAnswerLeavesAllInDoubt) {
+    const Exchange call = batch_of({{a, "unsafe"}, {b, "unsafe"}});
+    call.write("HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n[{\"id\": 1");
+    std::set<Json> dead;
+    while (dead.size() < 2) {
+        const Exchange report = agent_request("/reports");
+        for (const Json& notice : notices(report)) dead.insert(notice);
+        report.answer(204);
+    }
+    EXPECT_EQ(dead, (std::set<Json>{{{"ref", a}, {"result", "dead"}}, {{"ref", b}, {"result", "dead"}}}));
+    EXPECT_TRUE(target.none_within(300ms));
+}
+
 // Another target may have the address of one that has gone: its calls go over connections of its own.
 TEST_F(TargetTest, UsesNoConnectionOfATargetThatHasGone) {
     start_with_one_slot();
