Keep idle connections after a crash: a dead process has no full allowance

Cause: two refused connects with no success between them passed for a used-up allowance of connections. A dead process refuses every connect, so one crash made the module close all idle connections to that kind of endpoint for a minute, and each call paid for a handshake. Evidence: new connections are under 20% of the calls before the crash at 8.3 s and up to 75% after it; no list changed, and no message was refused for room.

Now an endpoint must refuse a connect and answer a call that was out meanwhile. The test IdleConnectionsAreGivenBack had pinned the crash reading and shows such an endpoint now.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -609,8 +609,8 @@
         endpoint.idle.clear();
     }
     // Idle connections count against an endpoint's allowance, and those of many senders fill it: they are
-    // closed where they would seldom be used or connects were refused. Costs a handshake where traffic is
-    // thin.
+    // closed where they would seldom be used or connects were refused by one that lives: one that has died
+    // says nothing of allowances. Costs a handshake where traffic is thin.
     void close_idle(Time now) {
         for (const EndpointId id : std::exchange(freed_, {})) {
             Endpoint& endpoint = endpoints_.at(id);
@@ -653,6 +653,8 @@
         if (outcome == Outcome::ConnectionLost) endpoint.lost_at = now;
         if (outcome == Outcome::Unreadable || outcome == Outcome::ConnectionLost) return spoil(endpoint, now);
         if (outcome == Outcome::Served) {
+            // it lives, and refused a connect while this call was out: its connections are used up
+            if (sent < endpoint.unconnected_at) unconnected_[endpoint.kind] = now;
             for (auto& [other_id, other] : calls_)
                 if (other.endpoint == id && other.sent < sent) other.overtaken = true;
             return succeed(id, report ? report->left : 0.0, rtt, now);
@@ -661,8 +663,6 @@
         const bool shut = outcome == Outcome::TurnedAway &&
                           (route.wait_until > now + kLongWait || (report && report->left > kRoomLeft));
         const bool no_room = outcome == Outcome::NoConnection && now - sent < kSlowConnect;
-        // one may be lost on the way; with none made between them they are turned away for their number
-        if (no_room && endpoint.unconnected_at > endpoint.last_good) unconnected_[endpoint.kind] = now;
         if (no_room) endpoint.unconnected_at = now;
         // calls that broke off, then a refused connect: the process died
         const bool died = no_room && endpoint.lost_at > endpoint.last_good;
