Hold only a sick route to half the slots, not the well routes beside it

Cause: a destination counted as ailing while any endpoint of it was not well, also where its endpoints are routes apart, and all ailing destinations share half of the slots. One crash thus halved the slots for nearly all partners.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -391,18 +391,28 @@
         return best;
     }
 
-    // The slot cap. Sick destinations together leave half of the slots to the healthy.
+    // The slot cap: three quarters, and half while it fails or is slow.
     bool has_room(const Destination& destination) const {
         const double slots = static_cast<double>(settings_.slots);
         if (destination.in_flight > 0 && destination.in_flight + 1 >= kCapShare * slots) return false;
-        if (!ailing(destination)) return true;
+        return destination.in_flight == 0 || !ailing(destination) ||
+               destination.in_flight + 1 <= kSickShare * slots;
+    }
+    // All that is sick leaves half of the slots to the healthy. A route apart that is well is not held back
+    // for a sick one beside it.
+    bool has_room(const Endpoint& endpoint) const {
+        const Destination& destination = destinations_.at(endpoint.destination);
+        if (!ailing(endpoint, destination)) return true;
+        const double slots = static_cast<double>(settings_.slots);
         // one trial each while slots are left: after a stall of all, stuck calls must not keep them unheard
-        if (destination.in_flight == 0 && static_cast<double>(calls_.size()) < kScarce * slots) return true;
+        const int out = apart(endpoint) ? endpoint.in_flight : destination.in_flight;
+        if (out == 0 && static_cast<double>(calls_.size()) < kScarce * slots) return true;
         return sick_calls() + 1 <= std::max(1.0, kSickShare * slots);
     }
     int sick_calls() const {
         return static_cast<int>(std::count_if(calls_.begin(), calls_.end(), [this](const auto& entry) {
-            return ailing(destinations_.at(endpoints_.at(entry.second.endpoint).destination));
+            const Endpoint& endpoint = endpoints_.at(entry.second.endpoint);
+            return ailing(endpoint, destinations_.at(endpoint.destination));
         }));
     }
 
@@ -511,7 +521,7 @@
         for (const EndpointId id : destination.endpoints) {
             Endpoint& endpoint = endpoints_.at(id);
             if (limited && route_of(endpoint).limit_tag > now) continue;
-            if (!open(id, now) || !may_go(message, id)) continue;
+            if (!open(id, now) || !may_go(message, id) || !has_room(endpoint)) continue;
             const double cost = cost_of(endpoint, now);
             if (!best || cost < least) best = id, least = cost;
         }
@@ -805,6 +815,9 @@
         }
     }
 
+    bool ailing(const Endpoint& endpoint, const Destination& destination) const {
+        return apart(endpoint) ? endpoint.health != Health::Well : ailing(destination);
+    }
     // Failing or slow: an endpoint is not well (silent, failing, or warming up).
     bool ailing(const Destination& destination) const {
         return std::any_of(destination.endpoints.begin(), destination.endpoints.end(),
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -191,6 +191,31 @@
     EXPECT_EQ(rig.sent(), Ids{99});
 }
 
+// ticket3928: a route that is down takes no slots from the routes beside it, which take over its messages.
+TEST(Cap, ASickRouteDoesNotHoldBackTheOnesBesideIt) {
+    Rig rig;  // 8 slots
+    for (DestinationId destination = 0; destination < 4; ++destination)
+        for (EndpointId side = 0; side < 2; ++side)
+            rig.list(static_cast<EndpointId>(2 * destination) + side, destination, 1);
+    MessageId next = 1;
+    for (int i = 0; i < 4; ++i) {  // both routes of each, one after the other; one is dead
+        for (DestinationId destination = 0; destination < 4; ++destination) rig.arrive(next++, destination);
+        for (DestinationId destination = 0; destination < 4; ++destination) rig.arrive(next++, destination);
+        for (const Send& send : rig.sends())
+            for (std::uint32_t attempt = 0; attempt < 4; ++attempt)
+                rig.outcome(send, send.endpoint % 2 == 0 ? Outcome::ServerError : Outcome::Served, attempt);
+    }
+    for (int i = 0; i < 40 && rig.now < ms(1'020'000); ++i)  // until all is served beside the dead routes
+        for (const auto& [at, send] : rig.pass(ms(200)))
+            for (std::uint32_t attempt = 0; attempt < 4; ++attempt)
+                rig.outcome(send, send.endpoint % 2 == 0 ? Outcome::ServerError : Outcome::Served, attempt);
+    for (DestinationId destination = 0; destination < 4; ++destination)
+        for (int i = 0; i < 2; ++i) rig.arrive(next++, destination);
+    std::size_t well = 0;
+    for (const Send& send : rig.sends()) well += send.endpoint % 2;
+    EXPECT_GE(well, 6u);  // with the dead ones' half of the slots it would be four
+}
+
 // ---- rules ----
 
 TEST(Answers, EndsAtTheDeadlineHeldOrOut) {
