Trust a rested connection only as long as calls on it are not reset

Cause: idle connections were used again up to nine tenths of the told limit. A reset purchase may have run and is lost.

--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -24,9 +24,12 @@
 
 namespace {
 
-constexpr auto kAnswerWait = 1s;                   // from the first byte of an answer to its last
-constexpr auto kLeastWait = 60s;                   // a told wait is believed so far,
-constexpr int kWaitDeadlines = 5;                  // or so many of the longest deadlines
+constexpr auto kAnswerWait = 1s;    // from the first byte of an answer to its last
+constexpr auto kLeastWait = 60s;    // a told wait is believed so far,
+constexpr int kWaitDeadlines = 5;   // or so many of the longest deadlines
+constexpr auto kLeastTrust = 50ms;  // a shorter rest is not to blame for a reset
+constexpr int kTrustFall = 4;       // after one a rest is trusted for so small a part of that one,
+constexpr auto kTrustRise = 10s;    // and for twice as long after each such time without another
 constexpr std::size_t kMostBatchBody = 64 * 1024;  // the protocol's limit
 
 /// No outage lasts so long that a longer wait would be worth heeding, and one spoilt figure must not shut a
@@ -80,6 +83,7 @@
 
     void start(std::vector<Attempt> attempts) {
         begun_ = Clock::now();
+        rested_ = socket_.is_open() ? std::optional(begun_ - idle_since_) : std::nullopt;
         ++turn_;
         written_ = false;
         call_ = std::move(attempts);
@@ -109,10 +113,12 @@
     /// Idle: a target's close is noticed at once, and it is left before the target may close it.
     void idle_for(Clock::duration span) {
         ++turn_;
-        wait_until(Clock::now() + span);
+        idle_since_ = Clock::now();
+        wait_until(idle_since_ + span);
         socket_.async_wait(
             Tcp::socket::wait_read, guarded([this](auto) { owner_.drop(shared_from_this()); }));
     }
+    Clock::duration rested() const { return Clock::now() - idle_since_; }
     /// A close that has come and that the loop has not told yet would end the next call as a reset.
     bool still_open() {
         char byte;
@@ -202,6 +208,7 @@
     /// By the target: that may be the end of an answer which tells no length.
     void ended() {
         if (answer_.ended() == Answer::State::Whole) return finish();
+        if (!call_.empty() && answer_.empty() && rested_) owner_.lost(endpoint_, *rested_);
         end(answer_.empty() ? Outcome::ConnectionLost : Outcome::Unreadable);
     }
 
@@ -253,7 +260,8 @@
     std::vector<Attempt> call_;  // until their outcomes are told
     std::vector<std::optional<Outcome>> given_up_;
     bool written_ = false;  // the call's last byte
-    Clock::time_point begun_{};
+    Clock::time_point begun_{}, idle_since_{};
+    std::optional<Clock::duration> rested_;  // before its call, where it carried one before
     http::request<http::string_body> request_;
     Answer answer_;
 };
@@ -343,11 +351,39 @@
         if (found == idle_.rend()) return nullptr;
         const Connection connection = *found;
         idle_.erase(std::next(found).base());
-        if (connection->still_open()) return connection;
+        if (connection->rested() <= trusted(endpoint) && connection->still_open()) return connection;
         connection->close();
     }
 }
 
+Clock::duration Targets::IdleTrust::now(Clock::time_point time) const {
+    const auto doubled = (time - at) / kTrustRise;
+    const bool whole = span == Clock::duration::max() || doubled >= 20;
+    return whole ? Clock::duration::max() : span * (1 << doubled);
+}
+void Targets::IdleTrust::lose(Clock::duration rested, Clock::time_point time) {
+    span = std::min(now(time), std::max<Clock::duration>(kLeastTrust, rested / kTrustFall));
+    at = time;
+}
+
+Clock::duration Targets::trusted(EndpointId endpoint) const {
+    const auto time = Clock::now();
+    const auto place = places_.find(endpoint);
+    return std::min(
+        trust_.now(time), place != places_.end() ? place->second.trust.now(time) : Clock::duration::max());
+}
+
+/// One target's process may have died; where another cuts calls off soon after, it is the way there.
+void Targets::lost(EndpointId endpoint, Clock::duration rested) {
+    if (rested < kLeastTrust) return;
+    const auto time = Clock::now();
+    if (lost_at_ && lost_last_ != endpoint && time - *lost_at_ < kTrustRise) trust_.lose(rested, time);
+    if (const auto place = places_.find(endpoint); place != places_.end())
+        place->second.trust.lose(rested, time);
+    lost_last_ = endpoint;
+    lost_at_ = time;
+}
+
 void Targets::now_idle(const Connection& connection) {
     std::erase(finishing_, connection);
     const auto place = places_.find(connection->endpoint());
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -5,9 +5,11 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +51,20 @@
     friend class TargetConnection;
     using Connection = std::shared_ptr<TargetConnection>;
 
+    using Clock = std::chrono::steady_clock;
+    /// For how long a connection may rest and still be trusted with a call. Some are ended on the way without
+    /// a sign, well before the told limit, and the next call on them ends as a reset.
+    struct IdleTrust {
+        Clock::duration span = Clock::duration::max();
+        Clock::time_point at{};
+        Clock::duration now(Clock::time_point time) const;
+        void lose(Clock::duration rested, Clock::time_point time);
+    };
+
+    Clock::duration trusted(EndpointId endpoint) const;
+    /// A call was cut off before any answer, on a connection that had rested so long.
+    void lost(EndpointId endpoint, Clock::duration rested);
+
     Connection take_idle(EndpointId endpoint);
     bool make_room();
     void start_call(std::vector<Attempt> attempts);
@@ -67,7 +83,11 @@
     struct Place {
         Tcp::endpoint address;
         std::size_t per_call = 1;
+        IdleTrust trust{};
     };
+    IdleTrust trust_;                           // in all targets, once several have cut calls off
+    EndpointId lost_last_ = 0;                  // where that happened last,
+    std::optional<Clock::time_point> lost_at_;  // and when
     std::map<EndpointId, Place> places_;
     std::map<std::pair<MessageId, std::uint32_t>, Connection> attempts_;
     std::size_t calls_ = 0;              // connections that carry one
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -159,6 +159,24 @@
     EXPECT_TRUE(target.none_within(300ms));
 }
 
+// ticket2581: connections that had rested were ended on the way, well before the told limit and without a
+// sign. After such a reset a rested connection is not trusted with a call, for a while.
+TEST_F(TargetTest, TrustsNoRestedConnectionAfterAResetOnOne) {
+    start_with_one_slot();
+    Client client = node.client();
+    expect_delivered(client, "00000000000000a1");
+    expect_delivered(client, "00000000000000a2");  // from here on the connection is kept
+    const int kept = target.connections();
+    std::this_thread::sleep_for(200ms);
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    target.next().hang_up();
+    target.next().answer(200);
+    EXPECT_EQ(target.connections(), kept + 1);
+    std::this_thread::sleep_for(200ms);
+    expect_delivered(client, "00000000000000a3");
+    EXPECT_EQ(target.connections(), kept + 2);
+}
+
 // Another target may have the address of one that has gone: its calls go over connections of its own.
 TEST_F(TargetTest, UsesNoConnectionOfATargetThatHasGone) {
     start_with_one_slot();
