Choose among routes by the told fee of their zone instead of the own zone

Cause: the fee that each zone takes for a message (carriage) was read by nobody. The module kept to its own zone, which is no nearer here and may be the dearest.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -56,6 +56,7 @@
     std::vector<KindSettings> kinds;
     std::optional<std::size_t> zone;  ///< index of this sender's own zone
     std::size_t zones = 0;
+    std::vector<double> zone_fees;  ///< by zone, for each message that a route apart there takes on; or empty
     std::size_t n_instances = 1;
     std::size_t slots = 0;      ///< calls out at once
     std::size_t most_held = 0;  ///< messages held at once
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -68,6 +68,7 @@
 constexpr Time kSweep{100'000};         // silence is looked for this often while calls are out
 constexpr double kNewConnection = 0.7;  // choosing: a new connection weighs as so many calls in flight
 constexpr double kOtherZone = 0.4;      // and another zone as so many
+constexpr double kFee = 20.0;           // and a fee of one point for each message as so many
 constexpr Time kRecent{60'000'000};     // after a failed connect: allowances of connections seldom change
 constexpr int kReuse = 3;               // an idle connection is kept if reused within this part of its time
 constexpr double kRoomKept = 0.1;       // share of most_held kept free for worth
@@ -528,11 +529,15 @@
         return best;
     }
 
-    // An endpoint with an idle connection first, then the least busy; the own zone before another.
+    // An endpoint with an idle connection first, then the least busy; the cheaper route before another, and
+    // the own zone where zones cost nothing.
     double cost_of(const Endpoint& endpoint, Time now) const {
         double cost = endpoint.in_flight;
         if (!has_idle(endpoint, now)) cost += kNewConnection;
-        if (settings_.zone && endpoint.zone != *settings_.zone) cost += kOtherZone;
+        if (apart(endpoint) && endpoint.zone < settings_.zone_fees.size())
+            cost += kFee * settings_.zone_fees[endpoint.zone];
+        else if (settings_.zone && endpoint.zone != *settings_.zone)
+            cost += kOtherZone;
         if (endpoint.health != Health::Well) cost += 1.0;
         return cost;
     }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -105,6 +105,7 @@
     const Json& info = need(params, "family_info");
     settings.slots = field<std::size_t>(info, "slots");
     read_kinds(info, need(params, "kinds").size(), settings);
+    settings.zone_fees = value_or(info, "carriage", std::vector<double>());
     settings.loses_worth = value_or<std::string>(info, "loses_worth", "linear") == "halving"
                                ? LateWorth::Halving
                                : LateWorth::Linear;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -19,6 +19,13 @@
     EXPECT_EQ(config.connect_timeout, std::chrono::milliseconds(1000));
 }
 
+TEST(Config, ReadsTheFeesOfTheZones) {
+    Json file = make_config("127.0.0.4:6379", "127.0.0.1:8500");
+    EXPECT_TRUE(read_config(file).settings.zone_fees.empty());
+    file["settings"]["family_info"]["carriage"] = {0.0, 0.03};
+    EXPECT_EQ(read_config(file).settings.zone_fees, (std::vector<double>{0.0, 0.03}));
+}
+
 TEST(Config, SaysWhatIsWrong) {
     const auto spoilt = [](const char* pointer, const Json& value) {
         Json file = make_config("127.0.0.4:6379", "127.0.0.1:8500");
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -191,6 +191,21 @@
     EXPECT_EQ(rig.sent(), Ids{99});
 }
 
+// A fee falls due for each message that a route takes on; the zone that the sender stands in costs nothing.
+TEST(Choice, TheCheaperRouteGoesBeforeTheOwnZone) {
+    for (const bool fees : {true, false}) {
+        Settings settings = make_settings();
+        if (fees) settings.zone_fees = {0.06, 0.0};
+        Rig rig(settings);
+        rig.list(0, 1, 1, 0.0, Condition::Ready, 0);
+        rig.list(1, 1, 1, 0.0, Condition::Ready, 1);
+        rig.arrive(1, 1);
+        const auto out = rig.sends();
+        ASSERT_EQ(out.size(), 1u);
+        EXPECT_EQ(out[0].endpoint, fees ? 1u : 0u);
+    }
+}
+
 // ticket3928: a route that is down takes no slots from the routes beside it, which take over its messages.
 TEST(Cap, ASickRouteDoesNotHoldBackTheOnesBesideIt) {
     Rig rig;  // 8 slots
