--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -93,6 +93,12 @@
     ListKind kind = ListKind::Full;
     std::vector<ListEntry> entries;
 };
+/// The operator takes an endpoint out by hand, or ends that. It holds whatever the list says, before or
+/// after.
+struct BanEvent {
+    EndpointId endpoint = 0;
+    bool on = true;
+};
 /// A new message, to be ended exactly once by a terminal outcome, Refuse or Fail.
 struct MessageEvent {
     MessageId message = 0;
@@ -155,8 +161,8 @@
     std::size_t from = 0;
     std::string bytes;
 };
-using Event = std::variant<ListEvent, MessageEvent, StreamStarted, OutcomeEvent, AbandonedEvent, TimerFired,
-    ProbeResult, PeerNote>;
+using Event = std::variant<ListEvent, BanEvent, MessageEvent, StreamStarted, OutcomeEvent, AbandonedEvent,
+    TimerFired, ProbeResult, PeerNote>;
 
 // ---- actions ----
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -227,6 +227,19 @@
         for (const ListEntry& entry : event.entries) list(entry);
     }
 
+    // Out by hand: nothing new goes there. It is restarted meanwhile, so all senders take it as returning
+    // from an outage that each of them knows of.
+    void take(const BanEvent& event, Time now) {
+        const auto found = endpoints_.find(event.endpoint);
+        if (event.on) {
+            if (!banned_.insert(event.endpoint).second) return;
+            if (found != endpoints_.end()) found->second.idle.clear();
+            actions_.emplace_back(CloseIdle{event.endpoint});
+        } else if (banned_.erase(event.endpoint) > 0 && found != endpoints_.end()) {
+            return_cold(found->second, now);
+        }
+    }
+
     void take(const MessageEvent& event, Time now) {
         if (event.message_class >= settings_.classes.size()) throw std::invalid_argument("message_class");
         if (event.tenant && *event.tenant >= quota_tags_.size()) throw std::invalid_argument("tenant");
@@ -289,7 +302,6 @@
     void take(const Other&, Time) {}
 
     std::vector<Action> decide(Time now) {
-        actions_.clear();
         if (watch_at_ <= now) actions_.emplace_back(Watch{true}), watch_at_ = kNever;
         end_overdue(now);
         watch_silence(now);
@@ -303,7 +315,7 @@
         close_idle(now);
         set_timer(now);
         if (now >= tidy_at_) tidy(now);
-        return std::move(actions_);
+        return std::exchange(actions_, {});
     }
 
 private:
@@ -342,6 +354,7 @@
         std::erase_if(gone_, [&](EndpointId id) {
             if (endpoints_.at(id).in_flight > 0 || doubted.contains(id)) return false;
             endpoints_.erase(id);
+            banned_.erase(id);
             actions_.emplace_back(Forget{id});
             return true;
         });
@@ -545,7 +558,8 @@
     // Listed as ready, no told wait, and its fall-back budget not spent.
     bool open(EndpointId id, Time now) {
         Endpoint& endpoint = endpoints_.at(id);
-        if (endpoint.condition != Condition::Ready || route_of(endpoint).wait_until > now) return false;
+        if (endpoint.condition != Condition::Ready || banned_.contains(id)) return false;
+        if (route_of(endpoint).wait_until > now) return false;
         return endpoint.health == Health::Well || endpoint.cold_tag <= now;
     }
 
@@ -758,6 +772,16 @@
         spend_budget(endpoint, now);
     }
 
+    void return_cold(Endpoint& endpoint, Time now) {
+        endpoint.health = Health::Returning;
+        endpoint.failure_seen = true;
+        endpoint.failing = 0.0;
+        endpoint.refused_row = 0;
+        endpoint.last_good = kLongAgo;
+        endpoint.fell = endpoint.heard = endpoint.returned = endpoint.cold_tag = now;
+        spend_budget(endpoint, now);
+    }
+
     // Silence alone, ended by a success before any failure was seen, was no outage. After one, slow start.
     void recover(Endpoint& endpoint, Time now) {
         if (endpoint.health == Health::Sick) {
@@ -1016,6 +1040,7 @@
     std::vector<Time> unconnected_;  // by kind, the last connect that was refused
     std::set<EndpointId> freed_;     // calls ended there in this batch
     std::set<EndpointId> gone_;      // no longer listed, and not forgotten yet
+    std::set<EndpointId> banned_;    // out by hand, listed or not
     std::vector<Action> actions_;
     std::uint64_t arrivals_ = 0, call_count_ = 0;
     double overall_usual_ = 0.0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,7 +27,7 @@
     signals.async_wait([&](auto failed, int signal) {
         if (failed) return;
         heed(signals, forwarder);
-        signal == SIGHUP ? reload(forwarder) : forwarder.drain();
+        signal == SIGHUP ? reload(forwarder) : forwarder.finish();
     });
 }
 
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -178,7 +178,7 @@
             owner_.bound_buffers();
             if (last_) return;
         } else {
-            if (owner_.draining_ && !unread()) return close();
+            if (owner_.sending_off_ && state_ != State::Silent && !unread()) return close();
             if (state_ != State::Silent) enter(State::Idle);
             owner_.accept();  // at the limit its place may go to a client that waits
             if (closed_) return;
@@ -317,11 +317,19 @@
     draining_ = true;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
-    for (const State state : {Silent, Idle}) {
-        const Sessions all = sessions_[state];
-        for (const auto& session : all)
-            if (!session->unread()) session->close();
-    }
+    send_off(true);
+    close_resting(Silent);
+}
+
+void Clients::send_off(bool off) {
+    sending_off_ = off;
+    if (off) close_resting(Idle);
+}
+
+void Clients::close_resting(State state) {
+    const Sessions all = sessions_[state];
+    for (const auto& session : all)
+        if (!session->unread()) session->close();
 }
 
 /// Closing the listener resets connections that wait in its queue, with the requests written to them.
@@ -336,6 +344,7 @@
 
 void Clients::handle(const resp::Command& command, const Answer& answer) {
     using boost::algorithm::iequals;
+    if (iequals(command[0], "PING") && saying_no_) return answer(resp::error("BUSY draining"));
     if (iequals(command[0], "PING"))
         return answer(command.size() == 2 ? resp::bulk(command[1]) : resp::simple("PONG"));
     if (!iequals(command[0], "ENQUEUE")) return answer(resp::error("ERR unknown command"));
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -30,8 +30,13 @@
     ~Clients();
 
     void listen();
+    /// The front's question is answered no, so that it sends its clients elsewhere.
+    void say_no(bool no) { saying_no_ = no; }
+    /// Connections close between requests; new ones are served alike.
+    void send_off(bool off);
     /// No new connections; those there are close between requests.
     void drain();
+    bool listening() const { return acceptor_.is_open(); }
     bool empty() const { return count_ == 0; }
 
 private:
@@ -53,6 +58,7 @@
     void accepted(Tcp::socket socket);
     void accept_waiting();
     bool make_room();
+    void close_resting(State state);
     bool close_first(State state, Clock::duration rest);
     void sweep();
     void bound_buffers();
@@ -65,6 +71,7 @@
     Tcp::acceptor acceptor_;
     asio::steady_timer pause_, sweep_;
     bool accepting_ = false, draining_ = false;
+    bool saying_no_ = false, sending_off_ = false;
     std::array<Sessions, States> sessions_;
     std::size_t count_ = 0;             // of all sessions
     std::size_t buffered_ = 0;          // bytes of commands that have not ended
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -78,6 +78,8 @@
     config.seed = seed_of(field<std::string>(file, "seed"));
     read_limits(need(file, "limits"), config);
     read_peers(file, config);
+    if (const auto operators = value_or<std::string>(file, "management", ""); !operators.empty())
+        config.management = tcp_endpoint(operators, "management");
     config.known = value_or(file, "known", Json::object());
     const Json& params = need(file, "settings");
     config.names = cometspoke::settings::names_of(params);
@@ -98,6 +100,9 @@
     if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
     Config config = read_config(file);
     config.state = environment("NODE_STATE");
+    // before the file's: two processes may share the file, and each has an address of its own
+    if (const char* operators = std::getenv("NODE_MANAGEMENT"); operators != nullptr && *operators != '\0')
+        config.management = tcp_endpoint(operators, "NODE_MANAGEMENT");
     return config;
 }
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -26,7 +26,8 @@
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;  ///< most descriptors of the process
     std::size_t memory_bytes = 64 << 20;
-    std::size_t disk_bytes = 0;  ///< room in `state`
+    std::size_t disk_bytes = 0;               ///< room in `state`
+    std::optional<Tcp::endpoint> management;  ///< where operators call
     std::optional<Udp::endpoint> peer_listen, peers_all;
     std::vector<Udp::endpoint> peers;  ///< by their numbers, its own among them
     Json known;                        ///< the list of targets as last had, in discovery's form
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -12,6 +12,7 @@
 
 constexpr auto kDestinationMemory = 10min;  // its targets are being replaced, not given up
 constexpr std::size_t kMostTargets = 100'000;
+constexpr std::size_t kMostFormer = 10'000;  // more names of those that have gone are not remembered
 
 }  // namespace
 
@@ -37,10 +38,19 @@
 void Directory::forget(EndpointId number) {
     const auto found = entries_.find(number);
     if (found == entries_.end() || found->second.destination) return;
+    remember(found->second.name);
     numbers_.erase(found->second.name);
     entries_.erase(found);
 }
 
+bool Directory::ever_listed(const std::string& name) const {
+    return numbers_.contains(name) || former_.contains(name);
+}
+
+void Directory::remember(const std::string& name) {
+    if (former_.size() < kMostFormer) former_.insert(name);
+}
+
 void Directory::list(Entry& entry, std::optional<std::int64_t> destination, Clock::time_point now) {
     const auto before = std::exchange(entry.destination, destination);
     if (before == destination) return;
--- a/src/net/directory.hpp
+++ b/src/net/directory.hpp
@@ -22,6 +22,10 @@
     std::optional<cometspoke::EndpointId> find(const std::string& name) const;
     const std::string* name_of(cometspoke::EndpointId number) const;
     void forget(cometspoke::EndpointId number);
+    /// Some list has named it, also where it has gone or was passed over.
+    bool ever_listed(const std::string& name) const;
+    void remember(const std::string& name);
+    const std::set<std::string>& former() const { return former_; }
 
     /// Takes what discovery tells; returns the numbers of those that are no longer listed.
     std::set<cometspoke::EndpointId> listed(const TargetList& told, Clock::time_point now);
@@ -40,6 +44,7 @@
 
     std::map<std::string, cometspoke::EndpointId> numbers_;
     std::map<cometspoke::EndpointId, Entry> entries_;
+    std::set<std::string> former_;  // named by some list, and without a number now
     cometspoke::EndpointId next_ = 0;
     std::map<std::int64_t, std::size_t> targets_;         // by destination, of those that have any
     std::map<std::int64_t, Clock::time_point> deserted_;  // when a destination's last target went
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -13,21 +13,25 @@
 
 namespace {
 
-constexpr auto kHandOver = 450ms;   // new connections come for 0.4 s after SIGTERM
-constexpr auto kDrainFor = 3400ms;  // SIGKILL comes 3.7 s after it
-constexpr auto kRoomWait = 1000ms;  // when there is no room, some is likely to be free so much later
-constexpr std::size_t kOtherDescriptors = 32;  // of the process beside clients and targets
+constexpr auto kHandOver = 450ms;        // new connections come for 0.4 s after SIGTERM
+constexpr auto kDrainFor = 3400ms;       // SIGKILL comes 3.7 s after it
+constexpr auto kRoomWait = 1000ms;       // when there is no room, some is likely to be free so much later
+constexpr std::size_t kLeastOther = 32;  // descriptors beside clients and targets,
+constexpr std::size_t kMostOther = 80;   // those of operators and of a second process among them
 
 Time now() { return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch()); }
 Wall wall_now() { return std::chrono::time_point_cast<Wall::duration>(std::chrono::system_clock::now()); }
 
+std::size_t other_descriptors(const Config& config) {
+    return std::clamp(config.sockets / 3, kLeastOther, kMostOther);
+}
 /// As many as there are calls out, and some that rest between calls; never more than clients leave.
 std::size_t most_target_connections(const Config& config) {
     const std::size_t wanted = std::max(config.sockets / 4, config.settings.slots * 3 / 2);
-    return std::min(wanted, (config.sockets - kOtherDescriptors) / 2);
+    return std::min(wanted, (config.sockets - other_descriptors(config)) / 2);
 }
 std::size_t most_client_connections(const Config& config) {
-    return config.sockets - most_target_connections(config) - kOtherDescriptors;
+    return config.sockets - most_target_connections(config) - other_descriptors(config);
 }
 
 /// The module must not count on more calls than there are descriptors for.
@@ -40,6 +44,13 @@
     return resp::error(wait > 0ms ? "BUSY " + std::to_string(wait.count()) : "BUSY");
 }
 
+/// As one line of the log.
+std::string plain(std::string text) {
+    for (char& letter : text)
+        if (letter < ' ' || letter > '~') letter = '?';
+    return text;
+}
+
 bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
@@ -68,9 +79,12 @@
           [this](Message message, Time left, Clients::Answer answer) {
               enqueue(std::move(message), left, std::move(answer));
           }),
+      management_(
+          io, [this](const OperatorCall& call, const Management::Answer& answer) { operate(call, answer); }),
       timer_(io),
-      drain_step_(io),
-      drain_end_(io) {}
+      send_off_(io),
+      finish_step_(io),
+      finish_end_(io) {}
 
 void Forwarder::start() {
     try {
@@ -79,6 +93,7 @@
         std::cerr << "config: no known list: " << bad.what() << '\n';
     }
     take_up();
+    if (config_.management) management_.listen(*config_.management);
     peers_.start();
     discovery_.start();
     clients_.listen();
@@ -117,7 +132,10 @@
     std::erase_if(told.targets, [this](const Target& target) {
         const bool known = (target.zone.empty() || config_.names.zones.contains(target.zone)) &&
                            (target.kind.empty() || config_.names.kinds.contains(target.kind));
-        if (!known) std::cerr << "discovery: passed over " << target.id << " of an unknown kind or place\n";
+        if (!known) {
+            std::cerr << "discovery: passed over " << target.id << " of an unknown kind or place\n";
+            directory_.remember(target.id);
+        }
         return !known;
     });
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
@@ -139,6 +157,8 @@
         if (target.condition == Condition::Draining) targets_.close_idle(*endpoint);
         event.entries.push_back(entry);
     }
+    for (const std::string& target : journal_.bans())  // first: what the list names anew may be out by hand
+        if (const auto endpoint = directory_.find(target)) observe(BanEvent{*endpoint, true});
     observe(event);
 }
 
@@ -271,25 +291,79 @@
     discovery_.report(id, notice);
 }
 
+void Forwarder::operate(const OperatorCall& call, const Management::Answer& answer) {
+    answer(verdict_on(call));
+}
+
+Verdict Forwarder::verdict_on(const OperatorCall& call) {
+    using boost::beast::http::status;
+    switch (call.order) {
+        case Order::Ready:
+            if (drained_ || finishing_ || !clients_.listening())
+                return {status::service_unavailable, drained_ ? "drained" : "takes no clients"};
+            return {status::ok, "ready"};
+        case Order::Disable:
+        case Order::Enable:
+            return ban(call.who, call.order == Order::Disable);
+        case Order::Drain:
+            drain();
+            return {status::ok, "draining"};
+        case Order::Undrain:
+            undrain();
+            return {status::ok, "takes clients again"};
+    }
+    return {status::not_found, "no such call"};
+}
+
+/// On record before it is in force: what operators were told must outlast the process.
+Verdict Forwarder::ban(const std::string& target, bool on) {
+    using boost::beast::http::status;
+    if (!journal_.bans().contains(target) && !directory_.ever_listed(target))
+        return {status::not_found, "no list has named " + plain(target)};
+    if (!journal_.ban(target, on)) return {status::service_unavailable, "no room to keep it"};
+    std::cerr << "operators: " << plain(target) << (on ? " is out\n" : " is used again\n");
+    if (const auto endpoint = directory_.find(target)) observe(BanEvent{*endpoint, on});
+    return {status::ok, on ? "out" : "in use"};
+}
+
+void Forwarder::drain() {
+    if (std::exchange(drained_, true)) return;
+    std::cerr << "operators: drain\n";
+    clients_.say_no(true);
+    send_off_.expires_after(kHandOver);
+    send_off_.async_wait([this](auto cancelled) {
+        if (!cancelled && drained_ && send_off_.expiry() <= std::chrono::steady_clock::now())
+            clients_.send_off(true);
+    });
+}
+
+void Forwarder::undrain() {
+    if (!std::exchange(drained_, false)) return;
+    std::cerr << "operators: takes clients again\n";
+    send_off_.cancel();
+    clients_.say_no(false);
+    if (!finishing_) clients_.send_off(false);
+}
+
 void Forwarder::reload(const Config& fresh) {
     const Sender checked(fresh.settings, fresh.seed);  // it knows best which settings make no sense
     discovery_.move_to(fresh.discovery);
 }
 
-void Forwarder::drain() {
-    if (std::exchange(draining_, true)) return;
-    drain_step_.expires_after(kHandOver);
-    drain_step_.async_wait([this](auto) {
+void Forwarder::finish() {
+    if (std::exchange(finishing_, true)) return;
+    finish_step_.expires_after(kHandOver);
+    finish_step_.async_wait([this](auto) {
         clients_.drain();
         stop_if_done();
     });
-    drain_end_.expires_after(kDrainFor);
-    drain_end_.async_wait([this](auto) { io_.stop(); });
+    finish_end_.expires_after(kDrainFor);
+    finish_end_.async_wait([this](auto) { io_.stop(); });
 }
 
 /// With nothing owed and no client left, there is nothing to wait for.
 void Forwarder::stop_if_done() {
-    if (draining_ && drain_step_.expiry() <= std::chrono::steady_clock::now() && clients_.empty() &&
+    if (finishing_ && finish_step_.expiry() <= std::chrono::steady_clock::now() && clients_.empty() &&
         journal_.entries().empty())
         io_.stop();
 }
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -11,6 +11,7 @@
 #include "directory.hpp"
 #include "discovery.hpp"
 #include "journal.hpp"
+#include "management.hpp"
 #include "peers.hpp"
 #include "targets.hpp"
 
@@ -26,7 +27,7 @@
     /// sense.
     void reload(const Config& fresh);
     /// Hands the clients on, goes on delivering, and stops the loop well before it would be killed.
-    void drain();
+    void finish();
 
 private:
     struct Newcomer {
@@ -35,6 +36,11 @@
     };
 
     void take_up();
+    void operate(const OperatorCall& call, const Management::Answer& answer);
+    Verdict verdict_on(const OperatorCall& call);
+    Verdict ban(const std::string& target, bool on);
+    void drain();
+    void undrain();
     void list(TargetList told, cometspoke::ListKind kind);
     void enqueue(Message message, cometspoke::Time left, Clients::Answer answer);
     void outcome(const cometspoke::OutcomeEvent& event);
@@ -70,8 +76,10 @@
     Discovery discovery_;
     Peers peers_;
     Clients clients_;
-    asio::steady_timer timer_, drain_step_, drain_end_;
-    bool turn_due_ = false, draining_ = false;
+    Management management_;
+    asio::steady_timer timer_, send_off_, finish_step_, finish_end_;
+    bool turn_due_ = false, finishing_ = false;
+    bool drained_ = false;                     // by the operators: the process goes on
     std::map<MessageId, Newcomer> newcomers_;  // handed in this turn, not answered yet
     bool whole_list_ = false;                  // discovery has told all targets once
 };
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -15,7 +15,18 @@
 namespace lockgw {
 namespace {
 
-enum class Kind : std::uint8_t { Entry = 1, Begun, NeverRan, MayHaveRun, Delivered, Ended, Confirmed };
+enum class Kind : std::uint8_t {
+    Entry = 1,
+    Begun,
+    NeverRan,
+    MayHaveRun,
+    Delivered,
+    Ended,
+    Confirmed,
+    Banned,
+    Unbanned
+};
+constexpr MessageId kNoMessage = 0;  // stands in the records that are of none
 
 constexpr std::size_t kHeader = 8;           // length and checksum
 constexpr std::size_t kBlock = 512;          // files count in these
@@ -126,6 +137,10 @@
     return entry;
 }
 
+std::string ban_record(const std::string& target, bool on) {
+    return Writer(on ? Kind::Banned : Kind::Unbanned).number(kNoMessage).text(target).bytes();
+}
+
 std::uint32_t checksum(std::string_view bytes) {
     boost::crc_32_type sum;
     sum.process_bytes(bytes.data(), bytes.size());
@@ -218,6 +233,13 @@
         entries_.emplace(id, std::move(entry));
         return true;
     }
+    if (kind == Kind::Banned || kind == Kind::Unbanned) {
+        const std::string target = reader.text();
+        const std::size_t bytes = kHeader + ban_record(target, true).size();
+        if (kind == Kind::Banned && bans_.insert(target).second) live_ += bytes;
+        if (kind == Kind::Unbanned && bans_.erase(target) > 0) live_ -= bytes;
+        return true;
+    }
     const auto found = entries_.find(id);
     if (found == entries_.end()) return true;
     Entry& entry = found->second;
@@ -274,6 +296,12 @@
     write(writer.bytes());
 }
 
+bool Journal::ban(const std::string& target, bool on) {
+    if (bans_.contains(target) == on) return true;
+    const std::string record = ban_record(target, on);
+    return append(record) && apply(record);
+}
+
 /// What has happened counts also where it cannot be written now: the next compaction brings it.
 void Journal::write(const std::string& record) {
     if (!append(record)) stale_ = true;
@@ -302,6 +330,7 @@
 /// Writes the entries to a new file and puts it in the place of the old one.
 bool Journal::compact() {
     std::string bytes;
+    for (const std::string& target : bans_) bytes += framed(ban_record(target, true));
     for (const Entry* entry : in_order()) bytes += framed(record_of(*entry));
     if (in_blocks(size_) + in_blocks(bytes.size()) > most_) return false;
     const auto fresh = folder_ / "journal.new";
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,6 +85,11 @@
     void end(MessageId id, Notice notice);
     void confirmed(MessageId id);
 
+    /// Targets that operators have taken out by hand.
+    const std::set<std::string>& bans() const { return bans_; }
+    /// False where it could not be kept: nothing has changed then.
+    bool ban(const std::string& target, bool on);
+
 private:
     void recover();
     bool apply(std::string_view record);
@@ -100,6 +106,7 @@
     bool stale_ = false;    // the file lacks something: it must be written anew before the next record
     Descriptor file_;
     std::map<MessageId, Entry> entries_;
+    std::set<std::string> bans_;
     std::size_t unended_ = 0;
     std::uint64_t arrivals_ = 0;
 };
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -9,6 +9,43 @@
 
 using Ids = std::vector<MessageId>;
 
+// ---- endpoints out by hand ----
+
+TEST(Ban, HoldsWhateverTheListSaysBeforeOrAfter) {
+    Rig rig;
+    rig.sender.observe(BanEvent{0, true}, rig.now);  // named by hand before any list names it
+    rig.list(0, 1);
+    rig.arrive(1, 1);
+    EXPECT_TRUE(rig.pass(ms(500)).empty());
+    rig.list(0, 1, 0, 0.0, Condition::Gone);
+    rig.list(0, 1);
+    EXPECT_TRUE(rig.pass(ms(500)).empty());
+    rig.sender.observe(BanEvent{0, true}, rig.now);
+    rig.sender.observe(BanEvent{0, false}, rig.now);  // one call ends it, however often it was made
+    EXPECT_EQ(rig.pass(ms(1000)).size(), 1u);
+}
+
+// Restarted meanwhile: what waits for it must not come at once.
+TEST(Ban, EndsInASlowReturn) {
+    const auto sent_within = [](bool banned) {
+        Rig rig;
+        rig.list(0, 1);
+        if (banned) rig.sender.observe(BanEvent{0, true}, rig.now);
+        for (MessageId id = 1; id <= 30; ++id) rig.arrive(id, 1);
+        if (banned) rig.sender.observe(BanEvent{0, false}, rig.now);
+        std::size_t count = 0;
+        for (int i = 0; i < 50; ++i) {
+            const auto sends = rig.sends();
+            count += sends.size();
+            rig.now += ms(20);
+            for (const Send& send : sends) rig.outcome(send, Outcome::Served, 0, Time(0), ms(20));
+        }
+        return count;
+    };
+    EXPECT_GE(sent_within(false), 29u);
+    EXPECT_LE(sent_within(true), 15u);
+}
+
 // ---- tags ----
 
 // One slot, weights 1 and 0.5, a call every 0.7 s. By hand, in seconds from the start: both level at -2;
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -220,12 +220,15 @@
 class Node {
 public:
     explicit Node(Json config) : config_(std::move(config)) {
+        address_ = other_address();
+        config_["listen"] = text_of(address_);
+    }
+    /// A free one of this process alone, so that the port is still free when the program binds it.
+    static Tcp::endpoint other_address() {
         asio::io_context io;
-        // an address of this process alone, so that the port is still free when the program binds it
         const auto own = static_cast<std::uint32_t>(getpid());
         const asio::ip::address_v4 address(0x7f400000u | ((own & 0x3fffu) << 8) | 1u);
-        address_ = Tcp::acceptor(io, {address, 0}).local_endpoint();
-        config_["listen"] = text_of(address_);
+        return Tcp::acceptor(io, {address, 0}).local_endpoint();
     }
     ~Node() {
         if (pid_ > 0) kill(), wait();
