Take new settings at SIGHUP: messages keep their class, broken files change nothing

A file is checked whole first: what stood in the file in force must stand in the new one, and deadlines and attempts are positive numbers. An inherited test changed a window over a restart and expected the new one for an old message; that is now the other way round.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -115,6 +115,9 @@
         std::optional<EndpointId> endpoint{};  ///< where it went, if that is still known
     };
     std::optional<Doubt> doubt{};
+    /// Its class as it was when the message was taken on, where that was before these Settings;
+    /// `message_class` means nothing then.
+    std::optional<ClassSettings> terms{};
 };
 /// The response of a streamed message has begun: the attempt belongs to the client from here on.
 struct StreamStarted {
@@ -161,8 +164,13 @@
     std::size_t from = 0;
     std::string bytes;
 };
-using Event = std::variant<ListEvent, BanEvent, MessageEvent, StreamStarted, OutcomeEvent, AbandonedEvent,
-    TimerFired, ProbeResult, PeerNote>;
+/// Other Settings from now on; messages that are held keep their class. Zones and kinds keep their places,
+/// and may only become more.
+struct SettingsEvent {
+    Settings settings;
+};
+using Event = std::variant<ListEvent, BanEvent, SettingsEvent, MessageEvent, StreamStarted, OutcomeEvent,
+    AbandonedEvent, TimerFired, ProbeResult, PeerNote>;
 
 // ---- actions ----
 
@@ -223,7 +231,8 @@
     Sender(Sender&&) noexcept;
     Sender& operator=(Sender&&) noexcept;
 
-    /// Throws std::invalid_argument where an event names a class, tenant, zone or kind not in the Settings.
+    /// Throws std::invalid_argument where an event names a class, tenant, zone or kind not in the Settings,
+    /// or brings Settings that make no sense; nothing has changed then.
     void observe(const Event& event, Time now);
     std::vector<Action> decide(Time now);
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -135,7 +135,7 @@
 };
 
 struct Message {
-    std::size_t message_class = 0;
+    std::shared_ptr<const ClassSettings> terms;  // its class, as it was when the message was taken on
     DestinationId destination = 0;
     std::uint64_t arrival = 0;
     std::optional<std::uint64_t> key;
@@ -182,30 +182,15 @@
 
 class Sender::Logic {
 public:
-    Logic(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
-        require(settings_.slots > 0, "slots");
-        require(settings_.most_held > 0, "most_held");
-        require(settings_.max_attempts > 0, "max_attempts");
-        require(settings_.n_instances > 0, "n_instances");
-        require(!settings_.classes.empty(), "classes");
-        require(!settings_.zone || *settings_.zone < settings_.zones, "zone");
-        require(settings_.floor_per_s >= 0, "floor_per_s");
-        require(settings_.fall_multiple > 0, "fall_multiple");
-        require(settings_.cold_from > 0 && settings_.cold_from <= 1, "cold_from");
-        for (const auto& [time, name] :
-            {std::pair{settings_.conn_idle, "conn_idle"}, {settings_.fall, "fall"},
-                {settings_.warm_within, "warm_within"}, {settings_.settle_after_doubt, "settle_after_doubt"}})
-            require(time >= Time(0), name);
-        for (const ClassSettings& entry : settings_.classes)
-            require(entry.aim >= Time(0) && entry.deadline > Time(0) && entry.window >= Time(0), "classes");
-        for (const KindSettings& entry : settings_.kinds) require(entry.per_call > 0, "kinds.per_call");
-        for (const TenantSettings& entry : settings_.tenants) require(entry.quota_per_s >= 0, "tenants");
-        if (settings_.kinds.empty()) settings_.kinds.emplace_back();
-        quota_tags_.resize(settings_.tenants.size(), kLongAgo);
-        unconnected_.resize(settings_.kinds.size(), kLongAgo);
+    Logic(Settings settings, std::uint64_t seed) : random_(seed) {
+        adopt(std::move(settings));
         if (settings_.must_subscribe) watch_at_ = kLongAgo;
     }
 
+    // What was learned of endpoints stays: it is not of the settings. A stricter limit on attempts holds at
+    // once.
+    void take(const SettingsEvent& event, Time) { adopt(event.settings); }
+
     void take(const ListEvent& event, Time now) {
         for (const ListEntry& entry : event.entries) {
             if (entry.kind >= settings_.kinds.size()) throw std::invalid_argument("kind");
@@ -241,12 +226,14 @@
     }
 
     void take(const MessageEvent& event, Time now) {
-        if (event.message_class >= settings_.classes.size()) throw std::invalid_argument("message_class");
+        if (!event.terms && event.message_class >= classes_.size())
+            throw std::invalid_argument("message_class");
         if (event.tenant && *event.tenant >= quota_tags_.size()) throw std::invalid_argument("tenant");
         if (messages_.contains(event.message)) return;
-        const ClassSettings& kind = settings_.classes[event.message_class];
         Message message;
-        message.message_class = event.message_class;
+        message.terms =
+            event.terms ? std::make_shared<const ClassSettings>(*event.terms) : classes_[event.message_class];
+        const ClassSettings& kind = *message.terms;
         message.destination = event.destination;
         message.arrival = ++arrivals_;
         message.born = now + event.left - kind.deadline;
@@ -319,6 +306,38 @@
     }
 
 private:
+    static void check(const Settings& settings) {
+        require(settings.slots > 0, "slots");
+        require(settings.most_held > 0, "most_held");
+        require(settings.max_attempts > 0, "max_attempts");
+        require(settings.n_instances > 0, "n_instances");
+        require(!settings.classes.empty(), "classes");
+        require(!settings.zone || *settings.zone < settings.zones, "zone");
+        require(settings.floor_per_s >= 0, "floor_per_s");
+        require(settings.fall_multiple > 0, "fall_multiple");
+        require(settings.cold_from > 0 && settings.cold_from <= 1, "cold_from");
+        for (const auto& [time, name] : {std::pair{settings.conn_idle, "conn_idle"}, {settings.fall, "fall"},
+                 {settings.warm_within, "warm_within"}, {settings.settle_after_doubt, "settle_after_doubt"}})
+            require(time >= Time(0), name);
+        for (const ClassSettings& entry : settings.classes)
+            require(entry.aim >= Time(0) && entry.deadline > Time(0) && entry.window >= Time(0), "classes");
+        for (const KindSettings& entry : settings.kinds) require(entry.per_call > 0, "kinds.per_call");
+        for (const TenantSettings& entry : settings.tenants) require(entry.quota_per_s >= 0, "tenants");
+    }
+
+    void adopt(Settings settings) {
+        check(settings);
+        if (settings.kinds.empty()) settings.kinds.emplace_back();
+        require(settings.kinds.size() >= settings_.kinds.size(), "kinds");
+        require(settings.zones >= settings_.zones, "zones");
+        settings_ = std::move(settings);
+        classes_.clear();
+        for (const ClassSettings& entry : settings_.classes)
+            classes_.push_back(std::make_shared<const ClassSettings>(entry));
+        quota_tags_.resize(settings_.tenants.size(), kLongAgo);
+        unconnected_.resize(settings_.kinds.size(), kLongAgo);
+    }
+
     void list(const ListEntry& entry) {
         Endpoint& endpoint = endpoints_[entry.endpoint];
         if (entry.condition == Condition::Gone)
@@ -501,7 +520,7 @@
         if (destination.served_rate <= 0) return Time(0);  // nothing is known yet: the ordinary path
         Time shortest = kNever;
         for (const auto& [arrival, id] : destination.held)
-            shortest = std::min(shortest, settings_.classes[messages_.at(id).message_class].aim);
+            shortest = std::min(shortest, messages_.at(id).terms->aim);
         const double held = static_cast<double>(destination.held.size()) - destination.in_flight;
         const Time backlog = from_seconds(std::max(0.0, held) / drain_rate(destination));
         return backlog > shortest ? backlog : Time(0);
@@ -522,7 +541,7 @@
     }
 
     Time resend_until(const Message& message) const {
-        const ClassSettings& kind = settings_.classes[message.message_class];
+        const ClassSettings& kind = *message.terms;
         if (kind.effect == Effect::Retryable) return kNever;
         if (kind.effect == Effect::Fragile) return kLongAgo;
         return *message.doubt_since + kind.window - kDedupMargin;
@@ -565,7 +584,7 @@
 
     // Fragile messages keep away from endpoints that fail; dedup resends keep to the scope of the first.
     bool may_go(const Message& message, EndpointId to) const {
-        const ClassSettings& kind = settings_.classes[message.message_class];
+        const ClassSettings& kind = *message.terms;
         const Endpoint& endpoint = endpoints_.at(to);
         if (kind.effect == Effect::Fragile &&
             (endpoint.failing > kFragileBar || endpoint.health == Health::Sick))
@@ -579,8 +598,7 @@
 
     // Calls that can be dropped later, and those that may not be repeated, are waited for to the end.
     Time time_out(const Message& message, Time now) const {
-        const bool wait =
-            settings_.cancel || settings_.classes[message.message_class].effect == Effect::Fragile;
+        const bool wait = settings_.cancel || message.terms->effect == Effect::Fragile;
         const Time left = message.deadline - now;
         return wait ? left : std::min(left, patience(destinations_.at(message.destination)));
     }
@@ -623,7 +641,7 @@
         }
     }
     bool may_repeat(const Message& message, const Call& call, Time now) const {
-        const ClassSettings& kind = settings_.classes[message.message_class];
+        const ClassSettings& kind = *message.terms;
         if (message.attempts >= settings_.max_attempts || kind.effect == Effect::Fragile) return false;
         if (kind.effect == Effect::Retryable) return true;
         return now + kDropTrip < std::min(call.sent, message.doubt_since.value_or(call.sent)) + kind.window;
@@ -911,7 +929,7 @@
 
     bool may_refuse(const Message& message) const {
         if (message.out == 0 && !message.doubt_since) return true;
-        const ClassSettings& kind = settings_.classes[message.message_class];
+        const ClassSettings& kind = *message.terms;
         return kind.effect == Effect::Retryable ||
                (kind.effect == Effect::Dedup && kind.dedup_scope == DedupScope::All);
     }
@@ -984,7 +1002,7 @@
         return std::max(kLeastDrain, destination.served_rate);
     }
     double worth_of(const Message& message, Time served) const {
-        const ClassSettings& kind = settings_.classes[message.message_class];
+        const ClassSettings& kind = *message.terms;
         const double worth = kind.worth * (message.over_share ? settings_.over_share_worth : 1.0);
         if (served >= message.deadline) return 0.0;
         const Time late = served - message.born - kind.aim;
@@ -1028,6 +1046,7 @@
     }
 
     Settings settings_;
+    std::vector<std::shared_ptr<const ClassSettings>> classes_;
     std::mt19937_64 random_;
     std::map<DestinationId, Destination> destinations_;
     std::map<DestinationId, Destination*> active_;  // those that hold messages
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,7 +17,7 @@
 
 /// A bad file must not take a good process down: the configuration that it has stays in force.
 void reload(lockgw::Forwarder& forwarder) try {
-    forwarder.reload(lockgw::config_of_environment());
+    forwarder.reload();
     std::cerr << "lockgw: configuration read anew" << std::endl;
 } catch (const std::exception& bad) {
     std::cerr << "lockgw: the old configuration stays: " << plain(bad.what()) << std::endl;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -78,14 +78,15 @@
         message.tenant = value("t");
         index_of(config.names.tenants, message.tenant, "tenant");
     }
-    const bool keyed = config.settings.classes[index].effect == cometspoke::Effect::Dedup;
+    message.terms = config.settings.classes[index];
+    const bool keyed = message.terms->effect == cometspoke::Effect::Dedup;
     if (keyed || pairs.contains("k")) message.key = value("k");
     check_key(message.key);
     message.destination = number_of<std::int64_t>(value("dest"), "dest");
     const auto left_ms = number_of<double>(value("d"), "d");
     if (!(left_ms >= 0 && left_ms <= kLongestMs)) throw BadInput("bad number for d");
     // no message of the class may be delivered for longer, whatever its client says
-    left = std::min(cometspoke::settings::from_ms(left_ms), config.settings.classes[index].deadline);
+    left = std::min(cometspoke::settings::from_ms(left_ms), message.terms->deadline);
     message.deadline = now + left;
     message.body = command[4];
     return message;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
+#include <set>
 
 namespace lockgw {
 namespace {
@@ -55,6 +56,29 @@
         config.peers.push_back(udp_endpoint(peer.get<std::string>(), "peers"));
 }
 
+bool may_go(const std::string& key) {
+    static const std::set<std::string> optional{"known", "management", "peer_listen", "peers_all", "peers",
+        "floor_per_s", "aim_stretch", "settle_after_doubt_ms", "sequential", "fleet"};
+    return optional.contains(key);
+}
+
+/// Every class must be told in full, whatever its name.
+void require_keys(const Json& before, const Json& fresh, const std::string& where) {
+    for (const auto& [key, value] : before.items()) {
+        if (may_go(key)) continue;
+        const auto found = fresh.find(key);
+        if (found == fresh.end() || found->is_null() != value.is_null())
+            throw BadInput("missing field " + where + key);
+        if (value.is_object() && !found->is_object()) throw BadInput(where + key + " is no object");
+        if (value.is_object()) require_keys(value, *found, where + key + ".");
+        if (key != "classes" || !value.is_array() || value.empty()) continue;
+        for (const Json& one : *found) {
+            if (!one.is_object()) throw BadInput(where + "classes holds what is no class");
+            require_keys(value.front(), one, where + "classes.");
+        }
+    }
+}
+
 std::string environment(const char* name) {
     const char* value = std::getenv(name);
     if (value == nullptr || *value == '\0') throw BadInput(std::string(name) + " is not set");
@@ -70,8 +94,11 @@
     return endpoint_of<Udp::endpoint>(text, what);
 }
 
-Config read_config(const Json& file) {
+Config read_config(const Json& file, const Config* before) {
     Config config;
+    if (before != nullptr) require_keys(before->file, file, "");
+    config.file = file;
+    config.file.erase("known");  // long, and read by now
     config.name = value_or<std::string>(file, "name", "");
     config.listen = tcp_endpoint(field<std::string>(file, "listen"), "listen");
     config.discovery = tcp_endpoint(field<std::string>(file, "discovery"), "discovery");
@@ -82,7 +109,8 @@
         config.management = tcp_endpoint(operators, "management");
     config.known = value_or(file, "known", Json::object());
     const Json& params = need(file, "settings");
-    config.names = cometspoke::settings::names_of(params);
+    config.names = cometspoke::settings::names_of(
+        params, before != nullptr ? before->names : cometspoke::settings::Names());
     config.settings = cometspoke::settings::settings_of(params, config.names);
     const auto timeout_ms = value_or(need(params, "limits"), "connect_timeout_ms", 1000.0);
     if (!(timeout_ms > 0 && timeout_ms < 1e6)) throw BadInput("limits.connect_timeout_ms makes no sense");
@@ -92,13 +120,13 @@
     return config;
 }
 
-Config config_of_environment() {
+Config config_of_environment(const Config* before) {
     const std::string path = environment("NODE_CONFIG");
     std::ifstream stream(path);
     if (!stream) throw BadInput("NODE_CONFIG cannot be read: " + path);
     const Json file = Json::parse(stream);
     if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
-    Config config = read_config(file);
+    Config config = read_config(file, before);
     config.state = environment("NODE_STATE");
     // before the file's: two processes may share the file, and each has an address of its own
     if (const char* operators = std::getenv("NODE_MANAGEMENT"); operators != nullptr && *operators != '\0')
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -30,6 +30,7 @@
     std::optional<Tcp::endpoint> management;  ///< where operators call
     std::optional<Udp::endpoint> peer_listen, peers_all;
     std::vector<Udp::endpoint> peers;  ///< by their numbers, its own among them
+    Json file;                         ///< all of it, as it was read
     Json known;                        ///< the list of targets as last had, in discovery's form
     cometspoke::settings::Names names;
     cometspoke::Settings settings;
@@ -41,8 +42,9 @@
 Tcp::endpoint tcp_endpoint(const std::string& text, const char* what);
 Udp::endpoint udp_endpoint(const std::string& text, const char* what);
 
-/// Throws std::exception with one plain line where something is missing or makes no sense.
-Config read_config(const Json& file);
-Config config_of_environment();
+/// Throws std::exception with one plain line where something is missing or makes no sense. What stands in the
+/// file of the configuration `before` must stand in a later one too: where it doesn't, half a file has come.
+Config read_config(const Json& file, const Config* before = nullptr);
+Config config_of_environment(const Config* before = nullptr);
 
 }  // namespace lockgw
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -109,14 +109,15 @@
             continue;
         }
         const auto kind = config_.names.classes.find(message.message_class);
-        if (kind == config_.names.classes.end()) {  // the operator took the class away meanwhile
+        if (!message.terms && kind == config_.names.classes.end()) {  // of a version that kept no terms
             end(message.id, {});
             continue;
         }
         MessageEvent event;
         event.message = message.id;
         event.destination = message.destination;
-        event.message_class = kind->second;
+        if (kind != config_.names.classes.end()) event.message_class = kind->second;
+        event.terms = message.terms;
         if (const auto tenant = config_.names.tenants.find(message.tenant);
             tenant != config_.names.tenants.end())
             event.tenant = tenant->second;
@@ -152,8 +153,7 @@
         entry.destination = target.destination;
         entry.rate = target.rate;
         entry.condition = target.condition;
-        if (target.condition == Condition::Ready)
-            targets_.set_address(*endpoint, target.address, config_.settings.kinds[entry.kind].per_call);
+        if (target.condition == Condition::Ready) targets_.set_address(*endpoint, target.address, entry.kind);
         if (target.condition == Condition::Draining) targets_.close_idle(*endpoint);
         event.entries.push_back(entry);
     }
@@ -345,8 +345,15 @@
     if (!finishing_) clients_.send_off(false);
 }
 
-void Forwarder::reload(const Config& fresh) {
-    const Sender checked(fresh.settings, fresh.seed);  // it knows best which settings make no sense
+void Forwarder::reload() {
+    Config fresh = within_descriptors(config_of_environment(&config_));
+    fresh.settings.slots = std::min(fresh.settings.slots, targets_.most_connections());
+    observe(SettingsEvent{fresh.settings});  // first: the module knows best which settings make no sense
+    config_.settings = std::move(fresh.settings);
+    config_.names = std::move(fresh.names);
+    config_.connect_timeout = fresh.connect_timeout;
+    config_.reports = fresh.reports;
+    config_.file = std::move(fresh.file);
     discovery_.move_to(fresh.discovery);
 }
 
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -23,9 +23,9 @@
     Forwarder(asio::io_context& io, Config config);
 
     void start();
-    /// Takes over what may change while it runs: the address of discovery. Throws where `fresh` makes no
-    /// sense.
-    void reload(const Config& fresh);
+    /// Takes over what may change while it runs: the settings and the address of discovery. Throws where the
+    /// file that is read anew makes no sense; nothing has changed then.
+    void reload();
     /// Hands the clients on, goes on delivering, and stops the loop well before it would be killed.
     void finish();
 
@@ -68,7 +68,7 @@
     void end(MessageId id, const Notice& notice);
 
     asio::io_context& io_;
-    const Config config_;
+    Config config_;
     Journal journal_;
     cometspoke::Sender sender_;
     Directory directory_;
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -78,6 +78,7 @@
         return value;
     }
     std::string text() { return std::string(take(number<std::uint32_t>())); }
+    bool empty() const { return rest_.empty(); }
     Wall time() { return Wall(std::chrono::microseconds(number<std::int64_t>())); }
     std::optional<BegunAttempt> attempt() {
         if (number<std::uint8_t>() == 0) return std::nullopt;
@@ -95,6 +96,25 @@
     std::string_view rest_;
 };
 
+void write_terms(const cometspoke::ClassSettings& terms, Writer& writer) {
+    writer.number(static_cast<std::uint8_t>(terms.effect));
+    writer.number(static_cast<std::uint8_t>(terms.dedup_scope));
+    for (const cometspoke::Time time : {terms.window, terms.aim, terms.deadline})
+        writer.number<std::int64_t>(time.count());
+    writer.number(terms.worth).number(terms.late_worth).number<std::uint8_t>(terms.sequential);
+}
+cometspoke::ClassSettings read_terms(Reader& reader) {
+    cometspoke::ClassSettings terms;
+    terms.effect = static_cast<cometspoke::Effect>(reader.number<std::uint8_t>());
+    terms.dedup_scope = static_cast<cometspoke::DedupScope>(reader.number<std::uint8_t>());
+    for (cometspoke::Time* time : {&terms.window, &terms.aim, &terms.deadline})
+        *time = cometspoke::Time(reader.number<std::int64_t>());
+    terms.worth = reader.number<double>();
+    terms.late_worth = reader.number<double>();
+    terms.sequential = reader.number<std::uint8_t>() != 0;
+    return terms;
+}
+
 std::string record_of(const Entry& entry) {
     const Message& message = entry.message;
     Writer writer(Kind::Entry);
@@ -106,11 +126,12 @@
         writer.number<std::uint8_t>(entry.notice->bounced);
         writer.number<std::int64_t>(entry.notice->wait.count());
     }
+    if (message.terms) write_terms(*message.terms, writer);
     return writer.bytes();
 }
 /// Of its record, or a little more, without writing it: it is asked for at every change of an entry.
 std::size_t size_of(const Entry& entry) {
-    constexpr std::size_t fixed = 128;  // all numbers, times and lengths of texts
+    constexpr std::size_t fixed = 176;  // all numbers, times and lengths of texts
     const Message& message = entry.message;
     return fixed + message.message_class.size() + message.tenant.size() + message.key.size() +
            message.body.size() + (entry.doubt ? entry.doubt->target.size() : 0) +
@@ -134,6 +155,7 @@
     entry.doubt = reader.attempt();
     entry.out = reader.attempt();
     if (reader.number<std::uint8_t>() != 0) entry.notice = read_notice(reader);
+    if (!reader.empty()) message.terms = read_terms(reader);  // earlier versions wrote none
     return entry;
 }
 
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -23,13 +23,15 @@
 /// Of the system clock: the only one that goes on while the process is down.
 using Wall = std::chrono::sys_time<std::chrono::microseconds>;
 
-/// A message as its client handed it in. Class and tenant go by name: their order may change with a restart.
+/// A message as its client handed it in. Class and tenant go by name: their order may change.
 struct Message {
     MessageId id = 0;
     std::string message_class, tenant, key;
     std::int64_t destination = 0;
     Wall deadline{};
     std::string body;
+    /// Its class as it is: a later configuration may not know it, or mean something else by it.
+    std::optional<cometspoke::ClassSettings> terms{};
 };
 struct BegunAttempt {
     Wall since{};
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -214,10 +214,10 @@
 
     std::vector<OutcomeEvent> outcomes() const {
         const bool reports = owner_.config_.reports;
-        if (!several()) return {answer_.outcome(reports, owner_.longest_wait_)};
+        if (!several()) return {answer_.outcome(reports, longest_wait(owner_.config_))};
         std::vector<MessageId> messages;
         for (const Attempt& attempt : call_) messages.push_back(attempt.message);
-        return answer_.outcomes(messages, reports, owner_.longest_wait_);
+        return answer_.outcomes(messages, reports, longest_wait(owner_.config_));
     }
     void finish() {
         const auto self = shared_from_this();
@@ -267,16 +267,12 @@
 };
 
 Targets::Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done)
-    : io_(io),
-      config_(config),
-      longest_wait_(longest_wait(config)),
-      most_(most_connections),
-      done_(std::move(done)) {}
+    : io_(io), config_(config), most_(most_connections), done_(std::move(done)) {}
 Targets::~Targets() = default;
 
-void Targets::set_address(EndpointId endpoint, const Tcp::endpoint& address, std::size_t per_call) {
-    const auto [found, fresh] = places_.emplace(endpoint, Place{address, per_call});
-    found->second.per_call = per_call;
+void Targets::set_address(EndpointId endpoint, const Tcp::endpoint& address, std::size_t kind) {
+    const auto [found, fresh] = places_.emplace(endpoint, Place{address, kind});
+    found->second.kind = kind;
     if (fresh || found->second.address == address) return;
     found->second.address = address;
     close_idle(endpoint);
@@ -293,7 +289,8 @@
     std::map<EndpointId, std::size_t> bytes;
     for (Attempt& attempt : attempts) {
         const auto place = places_.find(attempt.endpoint);
-        const std::size_t most = place != places_.end() ? place->second.per_call : 1;
+        const std::size_t most =
+            place != places_.end() ? config_.settings.kinds[place->second.kind].per_call : 1;
         const EndpointId endpoint = attempt.endpoint;
         const std::size_t size = size_in_batch(attempt);
         if (bytes[endpoint] + size > kMostBatchBody)
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -37,8 +37,8 @@
     Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done);
     ~Targets();
 
-    /// `per_call`: how many messages one call to it may carry.
-    void set_address(EndpointId endpoint, const Tcp::endpoint& address, std::size_t per_call);
+    /// `kind` as in the settings: it tells how many messages one call to it may carry.
+    void set_address(EndpointId endpoint, const Tcp::endpoint& address, std::size_t kind);
     /// Nothing new goes there; calls that are out are waited for.
     void forget(EndpointId endpoint);
     /// All attempts of one turn. Each one's outcome comes by Done, never from within this call.
@@ -46,6 +46,7 @@
     /// Its outcome comes once no other message of its call is waited for: a call is given up as a whole.
     void cancel(MessageId message, std::uint32_t attempt);
     void close_idle(EndpointId endpoint);
+    std::size_t most_connections() const { return most_; }
 
 private:
     friend class TargetConnection;
@@ -76,13 +77,12 @@
 
     asio::io_context& io_;
     const Config& config_;
-    cometspoke::Time longest_wait_;
     std::size_t most_;
     Done done_;
     std::array<char, 16 * 1024> in_;  // of the connection that is read just now
     struct Place {
         Tcp::endpoint address;
-        std::size_t per_call = 1;
+        std::size_t kind = 0;
         IdleTrust trust{};
     };
     IdleTrust trust_;                           // in all targets, once several have cut calls off
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -37,13 +38,28 @@
 
 namespace {
 
-Index index_names(const Json& names) {
-    Index index;
-    for (const Json& entry : names)
-        index.emplace(
-            entry.is_string() ? entry.get<std::string>() : field<std::string>(entry, "name"), index.size());
+std::string name_of(const Json& entry) {
+    return entry.is_string() ? entry.get<std::string>() : field<std::string>(entry, "name");
+}
+Index index_names(const Json& names, Index index = {}) {
+    for (const Json& entry : names) index.emplace(name_of(entry), index.size());
     return index;
 }
+constexpr double kLongestMs = 1e10;  // four months
+
+Time deadline_of(const Json& fields) {
+    const Json& limit = need(fields, "hard_limit_ms");  // true is no number here
+    if (!limit.is_number() || !(limit.get<double>() > 0 && limit.get<double>() < kLongestMs))
+        throw BadInput("hard_limit_ms is not a positive number");
+    return from_ms(limit.get<double>());
+}
+std::size_t attempts_of(const Json& limits) {
+    const Json& most = need(limits, "max_attempts");
+    if (!most.is_number() || !(most.get<double>() >= 1 && most.get<double>() < 1e9))
+        throw BadInput("max_attempts is not a positive number");
+    return most.get<std::size_t>();
+}
+
 ClassSettings class_of(const Json& fields) {
     ClassSettings result;
     const auto effect = field<std::string>(fields, "effect");
@@ -58,7 +74,7 @@
                                            : DedupScope::Endpoint;
     result.window = time_or(fields, "window_ms", Time(0));
     result.aim = from_ms(field<double>(fields, "aim_ms"));
-    result.deadline = from_ms(field<double>(fields, "hard_limit_ms"));
+    result.deadline = deadline_of(fields);
     result.worth = value_or(fields, "worth", 1.0);
     result.late_worth = value_or(fields, "late_worth", 0.0);
     result.sequential = value_or(fields, "sequential", false);
@@ -68,7 +84,7 @@
 void read_limits(const Json& params, Settings& settings) {
     const Json& limits = need(params, "limits");
     settings.most_held = field<std::size_t>(limits, "most_held");
-    settings.max_attempts = field<std::size_t>(limits, "max_attempts");
+    settings.max_attempts = attempts_of(limits);
     settings.cancel = value_or(limits, "cancel", false);
     settings.conn_idle = time_or(limits, "conn_idle_ms", Time(0));
     const Json& contract = need(params, "contract");
@@ -79,22 +95,31 @@
     settings.cold_from = value_or(contract, "cold_from", settings.cold_from);
 }
 
-void read_kinds(const Json& info, std::size_t count, Settings& settings) {
+void read_kinds(const Json& info, const Json& kinds, const Names& names, Settings& settings) {
     const Json none = Json::array();
     const Json& apart = info.contains("routes_apart") ? info["routes_apart"] : none;
     const Json& per_call = info.contains("per_call") ? info["per_call"] : none;
-    settings.kinds.resize(count);
-    for (std::size_t i = 0; i < count; ++i) {
-        if (i < apart.size()) settings.kinds[i].routes_apart = apart[i].get<bool>();
-        if (i < per_call.size()) settings.kinds[i].per_call = per_call[i].get<std::size_t>();
+    settings.kinds.resize(names.kinds.size());
+    for (std::size_t i = 0; i < kinds.size(); ++i) {
+        KindSettings& kind = settings.kinds[names.kinds.at(name_of(kinds[i]))];
+        if (i < apart.size()) kind.routes_apart = apart[i].get<bool>();
+        if (i < per_call.size()) kind.per_call = per_call[i].get<std::size_t>();
     }
 }
+std::vector<double> read_fees(const Json& info, const Json& zones, const Names& names) {
+    const auto told = value_or(info, "carriage", std::vector<double>());
+    std::vector<double> fees(told.empty() ? 0 : names.zones.size());
+    for (std::size_t i = 0; i < std::min(told.size(), zones.size()); ++i)
+        fees[names.zones.at(name_of(zones[i]))] = told[i];
+    return fees;
+}
 
 }  // namespace
 
-Names names_of(const Json& params) {
+Names names_of(const Json& params, const Names& before) {
     return {index_names(need(params, "classes")), index_names(value_or(params, "tenants", Json::array())),
-        index_names(value_or(params, "localities", Json::array())), index_names(need(params, "kinds"))};
+        index_names(value_or(params, "localities", Json::array()), before.zones),
+        index_names(need(params, "kinds"), before.kinds)};
 }
 
 Settings settings_of(const Json& params, const Names& names) {
@@ -104,8 +129,8 @@
         settings.tenants.push_back({value_or(entry, "quota_per_s", 0.0)});
     const Json& info = need(params, "family_info");
     settings.slots = field<std::size_t>(info, "slots");
-    read_kinds(info, need(params, "kinds").size(), settings);
-    settings.zone_fees = value_or(info, "carriage", std::vector<double>());
+    read_kinds(info, need(params, "kinds"), names, settings);
+    settings.zone_fees = read_fees(info, value_or(params, "localities", Json::array()), names);
     settings.loses_worth = value_or<std::string>(info, "loses_worth", "linear") == "halving"
                                ? LateWorth::Halving
                                : LateWorth::Linear;
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -45,7 +45,8 @@
     Index classes, tenants, zones, kinds;
 };
 std::size_t index_of(const Index& index, const std::string& name, const char* what);
-Names names_of(const Json& params);
+/// Zones and kinds that were named `before` keep their places; classes and tenants are those of `params`.
+Names names_of(const Json& params, const Names& before = {});
 Settings settings_of(const Json& params, const Names& names);
 
 }  // namespace cometspoke::settings
