--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -9,9 +9,11 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -169,8 +171,21 @@
 struct SettingsEvent {
     Settings settings;
 };
-using Event = std::variant<ListEvent, BanEvent, SettingsEvent, MessageEvent, StreamStarted, OutcomeEvent,
-    AbandonedEvent, TimerFired, ProbeResult, PeerNote>;
+/// A call that another process of this sender has out: it takes a slot here, and its outcomes come here.
+struct CallHandedOn {
+    EndpointId endpoint = 0;
+    Time age{0};
+    std::vector<std::pair<MessageId, std::uint32_t>> attempts;  ///< those without an outcome
+};
+/// What a Sender has learned of one endpoint or destination, or (with neither) of all, for the Sender that
+/// takes its place. Times are seconds from the moment of telling; what a name means is the module's affair.
+struct Learned {
+    std::optional<EndpointId> endpoint;
+    std::optional<DestinationId> destination;
+    std::map<std::string, double> figures;
+};
+using Event = std::variant<ListEvent, BanEvent, SettingsEvent, CallHandedOn, Learned, MessageEvent,
+    StreamStarted, OutcomeEvent, AbandonedEvent, TimerFired, ProbeResult, PeerNote>;
 
 // ---- actions ----
 
@@ -235,6 +250,8 @@
     /// or brings Settings that make no sense; nothing has changed then.
     void observe(const Event& event, Time now);
     std::vector<Action> decide(Time now);
+    /// For another Sender that takes over: observed there after the list and the messages.
+    std::vector<Learned> learned(Time now) const;
 
 private:
     class Logic;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -88,6 +88,32 @@
 
 enum class Health { Well, Sick, Returning };
 
+// What is learned, told as figures and taken from them again, by one list of names each (each_figure).
+struct Teller {
+    std::map<std::string, double>& figures;
+    Time now;
+    void operator()(const char* name, Time value) {
+        if (value > kLongAgo) figures[name] = seconds(value - now);
+    }
+    template <class Other>
+    void operator()(const char* name, Other value) {
+        figures[name] = static_cast<double>(value);
+    }
+};
+struct Taker {
+    const std::map<std::string, double>& figures;
+    Time now;
+    void operator()(const char* name, Time& value) {
+        if (const auto told = figures.find(name); told != figures.end())
+            value = now + from_seconds(told->second);
+    }
+    template <class Other>
+    void operator()(const char* name, Other& value) {
+        if (const auto told = figures.find(name); told != figures.end())
+            value = static_cast<Other>(told->second);
+    }
+};
+
 // What is shared by all endpoints of a destination, or belongs to one where its routes are apart.
 struct Route {
     Time wait_until{kLongAgo};  // told wait
@@ -134,6 +160,43 @@
     Time last_served{kLongAgo};
 };
 
+void each_figure(auto& route, auto& visit) requires requires { route.gain; }
+{
+    visit("wait_until", route.wait_until);
+    visit("limit_tag", route.limit_tag);
+    visit("known", route.known);
+    visit("gain", route.gain);
+    visit("refusals", route.refusals);
+}
+void each_figure(auto& endpoint, auto& visit) requires requires { endpoint.health; }
+{
+    each_figure(endpoint.own, visit);
+    visit("used", endpoint.used);
+    visit("heard", endpoint.heard);
+    visit("often", endpoint.often);
+    visit("health", endpoint.health);
+    visit("failure_seen", endpoint.failure_seen);
+    visit("failing", endpoint.failing);
+    visit("refused_row", endpoint.refused_row);
+    visit("last_good", endpoint.last_good);
+    visit("refused_at", endpoint.refused_at);
+    visit("lost_at", endpoint.lost_at);
+    visit("unconnected_at", endpoint.unconnected_at);
+    visit("fell", endpoint.fell);
+    visit("knowing", endpoint.knowing);
+    visit("returned", endpoint.returned);
+    visit("cold_tag", endpoint.cold_tag);
+}
+void each_figure(auto& destination, auto& visit) requires requires { destination.held; }
+{
+    each_figure(destination.shared, visit);
+    visit("usual", destination.usual);
+    visit("asked", destination.asked);
+    visit("asked_at", destination.asked_at);
+    visit("served_rate", destination.served_rate);
+    visit("last_served", destination.last_served);
+}
+
 struct Message {
     std::shared_ptr<const ClassSettings> terms;  // its class, as it was when the message was taken on
     DestinationId destination = 0;
@@ -282,6 +345,57 @@
         settle(event, ended, now);
     }
 
+    // The call is the other process's, its slot and its outcomes are of this one.
+    void take(const CallHandedOn& event, Time now) {
+        if (event.attempts.empty()) return;
+        const auto [place, unlisted] = endpoints_.try_emplace(event.endpoint);
+        Endpoint& endpoint = place->second;
+        if (unlisted) {
+            gone_.insert(event.endpoint);
+            const auto known = messages_.find(event.attempts.front().first);
+            if (known != messages_.end()) endpoint.destination = known->second.destination;
+        }
+        const std::uint64_t call_id = ++call_count_;
+        calls_.emplace(call_id, Call{event.endpoint, now - event.age, event.attempts.size()});
+        ++endpoint.in_flight;
+        ++destinations_[endpoint.destination].in_flight;
+        for (const auto& [id, attempt] : event.attempts) {
+            const auto found = messages_.find(id);  // none where it has ended and its call goes on
+            const bool held = found != messages_.end();
+            const auto key = held ? found->second.key : std::nullopt;
+            attempts_.emplace(std::pair(id, attempt), Attempt{call_id, key, false});
+            if (held) ++found->second.out;
+            if (key) ++keys_[*key].out;
+        }
+    }
+
+    void take(const Learned& event, Time now) {
+        Taker taker{event.figures, now};
+        if (event.endpoint) {
+            const auto found = endpoints_.find(*event.endpoint);
+            if (found != endpoints_.end()) each_figure(found->second, taker);
+        } else if (event.destination) {
+            const auto found = destinations_.find(*event.destination);
+            if (found != destinations_.end()) each_figure(found->second, taker);
+        } else {
+            taker("usual", overall_usual_);
+        }
+    }
+
+    std::vector<Learned> learned(Time now) const {
+        std::vector<Learned> all;
+        const auto tell = [&](auto endpoint, auto destination, const auto& what) {
+            all.push_back({endpoint, destination, {}});
+            Teller teller{all.back().figures, now};
+            each_figure(what, teller);
+        };
+        for (const auto& [id, endpoint] : endpoints_) tell(std::optional(id), std::nullopt, endpoint);
+        for (const auto& [id, destination] : destinations_)
+            tell(std::nullopt, std::optional(id), destination);
+        all.push_back({std::nullopt, std::nullopt, {{"usual", overall_usual_}}});
+        return all;
+    }
+
     void take(const AbandonedEvent& event, Time now) { forget(event.message, now); }
 
     // A timer only brings a batch; a stream's outcome still comes; notes and probes are not used.
@@ -1079,6 +1193,7 @@
 void Sender::observe(const Event& event, Time now) {
     std::visit([&](const auto& one) { logic_->take(one, now); }, event);
 }
+std::vector<Learned> Sender::learned(Time now) const { return logic_->learned(now); }
 std::vector<Action> Sender::decide(Time now) { return logic_->decide(now); }
 
 }  // namespace cometspoke
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -59,7 +59,7 @@
     forwarder.start();
     run(io);
     block_signals();
-    return 0;
+    return forwarder.failed() ? 1 : 0;
 } catch (const std::exception& bad) {
     std::cerr << "lockgw: cannot start: " << plain(bad.what()) << std::endl;
     return 1;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,5 +1,7 @@
 #include "clients.hpp"
 
+#include <fcntl.h>
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -241,22 +243,60 @@
 Clients::~Clients() = default;
 
 void Clients::listen() {
-    acceptor_.open(config_.listen.protocol());
-    acceptor_.set_option(Tcp::acceptor::reuse_address(true));
-    acceptor_.bind(config_.listen);
-    acceptor_.listen();
+    if (config_.inherited) {
+        // marked: no program that this one may start has any use for it
+        ::fcntl(*config_.inherited, F_SETFD, FD_CLOEXEC);
+        acceptor_.assign(config_.listen.protocol(), *config_.inherited);
+    } else {
+        acceptor_.open(config_.listen.protocol());
+        acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+        acceptor_.bind(config_.listen);
+        acceptor_.listen();
+    }
     acceptor_.non_blocking(true);
     accept();
     sweep();
 }
 
+void Clients::pause() {
+    paused_ = true;
+    boost::system::error_code ignored;
+    acceptor_.cancel(ignored);
+}
+void Clients::resume() {
+    paused_ = false;
+    boost::system::error_code ignored;
+    if (!acceptor_.is_open() && !draining_ && !config_.inherited) {
+        acceptor_.open(config_.listen.protocol());
+        acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+        acceptor_.bind(config_.listen);
+        acceptor_.listen();
+        acceptor_.non_blocking(true);
+    }
+    if (acceptor_.is_open()) accept();
+}
+void Clients::leave() {
+    pause();
+    if (!config_.inherited) {
+        accept_waiting();
+        close_listener();
+    }
+    send_off(true);
+}
+/// Closed and never shut down: the socket itself is shared with the other process and the platform.
+void Clients::close_listener() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
 void Clients::accept() {
-    if (draining_ || accepting_ || !make_room()) return;  // room is made by a close, which may accept too
+    if (paused_ || !acceptor_.is_open() || draining_ || accepting_ || !make_room())
+        return;  // room is made by a close, which may accept too
     if (accepting_) return;
     accepting_ = true;
     acceptor_.async_accept([this](auto failed, Tcp::socket socket) {
         accepting_ = false;
-        if (draining_ && failed) return;
+        if ((draining_ || paused_) && failed) return accept();  // which goes on if that is over by now
         if (!failed) {
             accepted(std::move(socket));
             return accept();
@@ -272,10 +312,12 @@
     std::make_shared<ClientSession>(std::move(socket), *this)->start();
 }
 
+std::size_t Clients::most() const { return most_ - std::min(elsewhere_, most_ / 2); }
+
 /// At the limit one that has its answer or has asked for nothing goes, the longest so first; half a command
 /// and what was just connected come last, and one with a request open never goes.
 bool Clients::make_room() {
-    if (count_ < most_) return true;
+    if (count_ < most()) return true;
     return close_first(Leaving, 0s) || close_first(Silent, kJustConnected) ||
            close_first(Idle, kIdleWhenShort) || close_first(Partly, kUnfinished / 4) ||
            close_first(Idle, 0s) || close_first(Silent, 0s);
@@ -303,7 +345,7 @@
     while (close_first(Silent, kSilent)) continue;
     while (close_first(Writing, kUnread)) continue;
     while (close_first(Leaving, kLinger)) continue;
-    while (close_first(Idle, count_ > most_ / 2 ? kIdleWhenShort : kIdle)) continue;
+    while (close_first(Idle, count_ > most() / 2 ? kIdleWhenShort : kIdle)) continue;
     Sessions& partly = sessions_[Partly];
     while (!partly.empty() && Clock::now() - partly.front()->since() >= kUnfinished)
         std::shared_ptr(partly.front())->turn_away("a command without an end");
@@ -314,7 +356,7 @@
 }
 
 void Clients::drain() {
-    accept_waiting();
+    if (!paused_) accept_waiting();
     draining_ = true;
     boost::system::error_code ignored;
     acceptor_.close(ignored);
@@ -328,15 +370,16 @@
 }
 
 void Clients::close_resting(State state) {
+    const auto rest = state == Silent ? kJustConnected : Clock::duration(0);
     const Sessions all = sessions_[state];
     for (const auto& session : all)
-        if (!session->unread()) session->close();
+        if (!session->unread() && Clock::now() - session->since() >= rest) session->close();
 }
 
 /// Closing the listener resets connections that wait in its queue, with the requests written to them.
 void Clients::accept_waiting() {
     boost::system::error_code failed;
-    while (count_ < most_) {
+    while (count_ < most()) {
         Tcp::socket socket = acceptor_.accept(failed);
         if (failed) return;
         accepted(std::move(socket));
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -30,13 +30,24 @@
     ~Clients();
 
     void listen();
+    /// Accepts nothing for now; those who connect wait in the listener's queue.
+    void pause();
+    void resume();
+    /// Another process takes the clients: those here are served and closed between requests. A listener that
+    /// was bound here is closed, so that the other can bind it.
+    void leave();
+    /// This process's copy of the listener, where the platform holds it.
+    void close_listener();
+    /// So many connections that count here are held by another process.
+    void reserve(std::size_t elsewhere) { elsewhere_ = elsewhere; }
+    std::size_t count() const { return count_; }
     /// The front's question is answered no, so that it sends its clients elsewhere.
     void say_no(bool no) { saying_no_ = no; }
     /// Connections close between requests; new ones are served alike.
     void send_off(bool off);
     /// No new connections; those there are close between requests.
     void drain();
-    bool listening() const { return acceptor_.is_open(); }
+    bool listening() const { return acceptor_.is_open() && !paused_; }
     bool empty() const { return count_ == 0; }
 
 private:
@@ -58,6 +69,7 @@
     void accepted(Tcp::socket socket);
     void accept_waiting();
     bool make_room();
+    std::size_t most() const;
     void close_resting(State state);
     bool close_first(State state, Clock::duration rest);
     void sweep();
@@ -66,11 +78,11 @@
 
     asio::io_context& io_;
     const Config& config_;
-    std::size_t most_;
+    std::size_t most_, elsewhere_ = 0;
     Enqueue enqueue_;
     Tcp::acceptor acceptor_;
     asio::steady_timer pause_, sweep_;
-    bool accepting_ = false, draining_ = false;
+    bool accepting_ = false, draining_ = false, paused_ = false;
     bool saying_no_ = false, sending_off_ = false;
     std::array<Sessions, States> sessions_;
     std::size_t count_ = 0;             // of all sessions
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -1,5 +1,7 @@
 #include "config.hpp"
 
+#include <sys/socket.h>
+
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -85,11 +87,24 @@
     return value;
 }
 
+int listening_socket(const std::string& text) {
+    int fd = -1, listening = 0;
+    socklen_t length = sizeof listening;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), fd);
+    const bool number = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    if (!number || ::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &length) != 0 || listening == 0)
+        throw BadInput("NODE_FD is no listening socket: " + text);
+    return fd;
+}
+
 }  // namespace
 
 Tcp::endpoint tcp_endpoint(const std::string& text, const char* what) {
     return endpoint_of<Tcp::endpoint>(text, what);
 }
+std::string text_of(const Tcp::endpoint& endpoint) {
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
 Udp::endpoint udp_endpoint(const std::string& text, const char* what) {
     return endpoint_of<Udp::endpoint>(text, what);
 }
@@ -128,6 +143,8 @@
     if (!file.is_object()) throw BadInput("NODE_CONFIG is not a JSON object");
     Config config = read_config(file, before);
     config.state = environment("NODE_STATE");
+    if (const char* inherited = std::getenv("NODE_FD"); inherited != nullptr && *inherited != '\0')
+        config.inherited = listening_socket(inherited);
     // before the file's: two processes may share the file, and each has an address of its own
     if (const char* operators = std::getenv("NODE_MANAGEMENT"); operators != nullptr && *operators != '\0')
         config.management = tcp_endpoint(operators, "NODE_MANAGEMENT");
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -27,6 +27,7 @@
     std::size_t sockets = 1024;  ///< most descriptors of the process
     std::size_t memory_bytes = 64 << 20;
     std::size_t disk_bytes = 0;               ///< room in `state`
+    std::optional<int> inherited;             ///< the clients' listening socket, where the platform holds it
     std::optional<Tcp::endpoint> management;  ///< where operators call
     std::optional<Udp::endpoint> peer_listen, peers_all;
     std::vector<Udp::endpoint> peers;  ///< by their numbers, its own among them
@@ -40,6 +41,7 @@
 
 /// "host:port" with a numeric address; throws BadInput naming `what`.
 Tcp::endpoint tcp_endpoint(const std::string& text, const char* what);
+std::string text_of(const Tcp::endpoint& endpoint);
 Udp::endpoint udp_endpoint(const std::string& text, const char* what);
 
 /// Throws std::exception with one plain line where something is missing or makes no sense. What stands in the
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -161,6 +161,17 @@
     start();
 }
 
+void Discovery::suspend() {
+    suspended_ = true;
+    leave();
+}
+void Discovery::resume() {
+    suspended_ = false;
+    revision_.reset();
+    posting_ = false;
+    start();
+}
+
 void Discovery::leave() {
     ++stay_;
     watch_pause_.cancel();
@@ -203,7 +214,7 @@
 }
 
 void Discovery::post() {
-    if (!reports_ || posting_ || notices_.empty()) return;
+    if (!reports_ || suspended_ || posting_ || notices_.empty()) return;
     posting_ = true;
     std::string body;
     std::vector<MessageId> sent;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -41,6 +41,12 @@
     ~Discovery();
 
     void start();
+    /// Another process asks and tells from now on; `resume` undoes it, with every notice that is not
+    /// confirmed.
+    void suspend();
+    void resume();
+    /// The notices are another process's.
+    void forget_notices() { notices_.clear(); }
     /// Another agent takes the place of the present one.
     void move_to(const Tcp::endpoint& address);
     /// Posted until it is answered 204.
@@ -61,7 +67,7 @@
     std::shared_ptr<AgentConnection> watch_, reports_;
     asio::steady_timer watch_pause_, report_pause_;
     std::uint64_t stay_ = 0;  // with this agent: pauses of an earlier one end in nothing
-    bool posting_ = false;
+    bool posting_ = false, suspended_ = false;
     std::map<MessageId, Notice> notices_;
 };
 
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -16,6 +16,8 @@
 constexpr auto kHandOver = 450ms;        // new connections come for 0.4 s after SIGTERM
 constexpr auto kDrainFor = 3400ms;       // SIGKILL comes 3.7 s after it
 constexpr auto kRoomWait = 1000ms;       // when there is no room, some is likely to be free so much later
+constexpr auto kTellHeld = 100ms;        // how often the new owner is told what is still held here,
+constexpr auto kLinger = 10s;            // and for how long, where no signal ends this process
 constexpr std::size_t kLeastOther = 32;  // descriptors beside clients and targets,
 constexpr std::size_t kMostOther = 80;   // those of operators and of a second process among them
 
@@ -51,6 +53,45 @@
     return text;
 }
 
+// What two processes tell each other.
+
+Json member_of(const Target& target) {
+    const char* phase = target.condition == Condition::Ready ? "in_service" : "terminating";
+    return {{"id", target.id}, {"host_port", text_of(target.address)}, {"locality", target.zone},
+        {"flavor", target.kind}, {"cell", target.destination}, {"phase", phase}, {"size", target.rate}};
+}
+Json note_of(const OutcomeEvent& event) {
+    Json told{{"message", event.message}, {"attempt", event.attempt},
+        {"outcome", static_cast<int>(event.outcome)}, {"terminal", event.terminal},
+        {"rtt_us", event.rtt.count()}, {"wait_us", event.wait.count()}};
+    if (event.report) told["report"] = {event.report->left, event.report->limit};
+    return {{"outcome", told}};
+}
+OutcomeEvent outcome_of(const Json& told) {
+    OutcomeEvent event;
+    event.message = told.at("message").get<MessageId>();
+    event.attempt = told.at("attempt").get<std::uint32_t>();
+    event.outcome = static_cast<Outcome>(told.at("outcome").get<int>());
+    event.terminal = told.at("terminal").get<bool>();
+    event.rtt = Time(told.at("rtt_us").get<std::int64_t>());
+    event.wait = Time(told.at("wait_us").get<std::int64_t>());
+    if (told.contains("report"))
+        event.report = LoadReport{told["report"].at(0).get<double>(), told["report"].at(1).get<double>()};
+    return event;
+}
+/// As the journal keeps it: its texts may hold any bytes, and its class goes along.
+Json note_of(const Message& message) {
+    const std::string record = record_of(message);
+    return {{"enqueue", Json::binary({record.begin(), record.end()})}};
+}
+Message message_of(const Json& told) {
+    const auto& bytes = told.get_binary();
+    return message_of_record({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+}
+Json note_of(std::uint64_t number, const OperatorCall& call) {
+    return {{"operate", {{"number", number}, {"order", static_cast<int>(call.order)}, {"who", call.who}}}};
+}
+
 bool proves_never_ran(Outcome outcome) {
     return outcome == Outcome::TurnedAway || outcome == Outcome::NoConnection || outcome == Outcome::NotSent;
 }
@@ -60,7 +101,6 @@
 Forwarder::Forwarder(asio::io_context& io, Config config)
     : io_(io),
       config_(within_descriptors(std::move(config))),
-      journal_(config_.state, config_.disk_bytes),
       sender_(config_.settings, config_.seed),
       targets_(io, config_, most_target_connections(config_),
           [this](const OutcomeEvent& event) { outcome(event); }),
@@ -71,7 +111,8 @@
               list(told, told.complete ? ListKind::Full : ListKind::Changes);
           },
           [this](MessageId id) {
-              journal_.confirmed(id);
+              if (role_ != Role::Owner) return;  // another process tells it again: that does no harm
+              journal_->confirmed(id);
               stop_if_done();
           }),
       peers_(io, config_, [this](const PeerNote& note) { observe(note); }),
@@ -81,28 +122,289 @@
           }),
       management_(
           io, [this](const OperatorCall& call, const Management::Answer& answer) { operate(call, answer); }),
+      handover_(io, config_.state, handover_steps()),
       timer_(io),
       send_off_(io),
       finish_step_(io),
-      finish_end_(io) {}
+      finish_end_(io),
+      held_pause_(io),
+      linger_(io) {}
 
 void Forwarder::start() {
+    if (config_.management) management_.listen(*config_.management);
+    handover_.claim();
+}
+
+Handover::Steps Forwarder::handover_steps() {
+    Handover::Steps steps;
+    steps.own = [this](const std::optional<Json>& offer) { own(offer); };
+    steps.offer = [this] { return offer(); };
+    steps.let_go = [this] { let_go(); };
+    steps.released = [this] { released(); };
+    steps.take_back = [this](bool offered) { take_back(offered); };
+    steps.told = [this](const Json& note) { told(note); };
+    steps.left = [this] { predecessor_left(); };
+    steps.lost = [this](const std::string& why) {
+        std::cerr << "lockgw: cannot go on: " << plain(why) << std::endl;
+        failed_ = role_ == Role::Waiting || role_ == Role::Owner;  // one that was replaced has done its work
+        io_.stop();
+    };
+    return steps;
+}
+
+void Forwarder::own(const std::optional<Json>& offer) {
+    journal_.emplace(config_.state, config_.disk_bytes);
+    role_ = Role::Owner;
     try {
         list(list_of(config_.known), ListKind::Cached);
     } catch (const std::exception& bad) {
         std::cerr << "config: no known list: " << bad.what() << '\n';
     }
-    take_up();
-    if (config_.management) management_.listen(*config_.management);
+    if (offer) {
+        const Json calls = offer->value("calls", Json::array());
+        adopt(*offer, out_elsewhere(calls));
+    } else {
+        take_up({});
+    }
     peers_.start();
     discovery_.start();
     clients_.listen();
+    if (offer && offer->value("drained", false)) drain();
+    if (std::exchange(reload_due_, false)) guarded([this] { reload(); });
+    std::cerr << (offer ? "handover: taken over\n" : "lockgw: takes clients\n");
+}
+
+/// Each part by itself: whatever one of them holds, the journal's messages must be taken up.
+void Forwarder::adopt(const Json& offer, const std::vector<Targets::Out>& out) {
+    std::set<AttemptId> attempts;
+    for (const Targets::Out& call : out) attempts.insert(call.attempts.begin(), call.attempts.end());
+    guarded([&] {
+        for (const Json& name : offer.at("former")) directory_.remember(name.get<std::string>());
+        whole_list_ = offer.at("whole").get<bool>();
+        list(list_of(offer.at("list")), ListKind::Cached);
+    });
+    take_up(attempts);
+    guarded([&] { learn(offer.at("learned")); });
+    hand_calls_on(out);
+}
+
+void Forwarder::hand_calls_on(const std::vector<Targets::Out>& out) {
+    const auto time = std::chrono::steady_clock::now();
+    for (const Targets::Out& call : out)
+        guarded([&] {
+            observe(CallHandedOn{
+                call.endpoint, std::chrono::duration_cast<Time>(time - call.begun), call.attempts});
+        });
+}
+
+/// The calls that the process before has out, under the numbers that their targets have here.
+std::vector<Targets::Out> Forwarder::out_elsewhere(const Json& calls) {
+    const auto time = std::chrono::steady_clock::now();
+    std::vector<Targets::Out> all;
+    for (const Json& call : calls) {
+        Targets::Out out;
+        out.endpoint = directory_.number_of(call.at("target").get<std::string>());
+        out.begun = time - Time(call.at("age_us").get<std::int64_t>());
+        for (const Json& attempt : call.at("attempts")) {
+            out.attempts.emplace_back(attempt.at(0).get<MessageId>(), attempt.at(1).get<std::uint32_t>());
+            elsewhere_.emplace(out.attempts.back(), Elsewhere{out.endpoint, out.begun});
+        }
+        all.push_back(std::move(out));
+    }
+    return all;
+}
+
+Json Forwarder::calls_out() const {
+    const auto time = std::chrono::steady_clock::now();
+    std::set<AttemptId> told;
+    Json calls = Json::array();
+    const auto add = [&](const std::string& target, auto age, const std::vector<AttemptId>& attempts) {
+        calls.push_back({{"target", target}, {"age_us", std::chrono::duration_cast<Time>(age).count()},
+            {"attempts", attempts}});
+        told.insert(attempts.begin(), attempts.end());
+    };
+    for (const Targets::Out& call : targets_.out())
+        if (const std::string* name = directory_.name_of(call.endpoint))
+            add(*name, time - call.begun, call.attempts);
+    // begun and not sent: the outcome waits for its turn in the loop
+    for (const auto& [id, entry] : journal_->entries())
+        if (entry.out && entry.attempts > 0 && !told.contains({id, entry.attempts - 1}))
+            add(entry.out->target, Time(0), {{id, entry.attempts - 1}});
+    return calls;
+}
+
+Json Forwarder::learned() const {
+    Json all = Json::array();
+    for (const Learned& one : sender_.learned(now())) {
+        Json line{{"figures", one.figures}};
+        if (one.destination) line["destination"] = *one.destination;
+        if (one.endpoint) {
+            const std::string* name = directory_.name_of(*one.endpoint);
+            if (name == nullptr) continue;
+            line["target"] = *name;
+        }
+        all.push_back(std::move(line));
+    }
+    return all;
+}
+void Forwarder::learn(const Json& learned) {
+    for (const Json& line : learned) {
+        Learned one;
+        one.figures = line.at("figures").get<std::map<std::string, double>>();
+        if (line.contains("destination")) one.destination = line["destination"].get<std::int64_t>();
+        if (line.contains("target")) {
+            one.endpoint = directory_.find(line["target"].get<std::string>());
+            if (!one.endpoint) continue;
+        }
+        observe(one);
+    }
+}
+
+/// Nothing is decided or written from here on; all of it can be taken back until the other one is told go.
+Json Forwarder::offer() {
+    std::cerr << "handover: another process takes over\n";
+    if (turn_due_) turn();  // who has been observed gets an answer
+    role_ = Role::Offered;
+    clients_.pause();
+    discovery_.suspend();
+    timer_.cancel();
+    Json members = Json::array();
+    for (const auto& [name, target] : listed_) members.push_back(member_of(target));
+    offer_ = {{"former", directory_.former()}, {"whole", whole_list_},
+        {"list", {{"revision", 0}, {"complete", true}, {"members", members}}}, {"learned", learned()},
+        {"calls", calls_out()}, {"drained", drained_}};
+    return offer_;
+}
+
+void Forwarder::let_go() {
+    journal_.reset();
+    discovery_.forget_notices();
+    peers_.stop();
+    clients_.leave();
+    targets_.close_all_idle();
+}
+
+void Forwarder::released() {
+    role_ = Role::Released;
+    std::cerr << "handover: handed over\n";
+    for (const OutcomeEvent& event : std::exchange(outcomes_, {})) handover_.tell(note_of(event));
+    for (const auto& [id, newcomer] : newcomers_) handover_.tell(note_of(newcomer.message));
+    for (const auto& [number, one] : relayed_) handover_.tell(note_of(number, one.call));
+    tell_held();
+    linger_.expires_after(kLinger);
+    linger_.async_wait([this](auto cancelled) {
+        if (cancelled || role_ != Role::Released) return;
+        lingered_ = true;
+        stop_if_done();
+    });
+    if (finishing_) clients_.drain();
+}
+
+/// The two count as one: the new owner leaves room for what is still held here.
+void Forwarder::tell_held() {
+    if (role_ != Role::Released) return;
+    handover_.tell({{"held", {{"clients", clients_.count()}, {"calls", targets_.calls()}}}});
+    stop_if_done();
+    held_pause_.expires_after(kTellHeld);
+    held_pause_.async_wait([this](auto cancelled) {
+        if (!cancelled) tell_held();
+    });
+}
+
+/// The other process has gone. Before go nothing has changed in the folder; after it the journal says what
+/// the other one has done, and the calls that are out here are known here.
+void Forwarder::take_back(bool offered) {
+    std::cerr << "handover: taken back\n";
+    linger_.cancel();
+    held_pause_.cancel();
+    if (offered) {
+        role_ = Role::Owner;
+        for (const OutcomeEvent& event : std::exchange(outcomes_, {})) outcome(event);
+        observe(TimerFired{});
+    } else {
+        journal_.emplace(config_.state, config_.disk_bytes);
+        sender_ = Sender(config_.settings, config_.seed);
+        role_ = Role::Owner;
+        outcomes_.clear();
+        adopt(offer_, targets_.out());
+        guarded([this] { peers_.start(); });
+    }
+    if (!drained_ && !finishing_) clients_.send_off(false);
+    discovery_.resume();
+    guarded([this] { clients_.resume(); });
+    if (finishing_ && finish_step_.expiry() <= std::chrono::steady_clock::now()) clients_.drain();
+    if (std::exchange(reload_due_, false)) guarded([this] { reload(); });
+    enqueue_here_again();
+    for (auto& [number, one] : std::exchange(relayed_, {})) operate(one.call, one.answer);
+}
+
+void Forwarder::enqueue_here_again() {
+    for (auto& [id, newcomer] : std::exchange(newcomers_, {})) {
+        const Time left = newcomer.message.deadline - wall_now();
+        enqueue(std::move(newcomer.message), left, std::move(newcomer.answer));
+    }
+}
+
+void Forwarder::told(const Json& note) {
+    if (note.contains("outcome")) {
+        OutcomeEvent event = outcome_of(note["outcome"]);
+        const auto found = elsewhere_.find({event.message, event.attempt});
+        if (found == elsewhere_.end()) return;
+        event.endpoint = found->second.endpoint;
+        elsewhere_.erase(found);
+        outcome(event);
+    } else if (note.contains("enqueue")) {
+        Message message = message_of(note["enqueue"]);
+        const Time left = message.deadline - wall_now();
+        const MessageId id = message.id;
+        enqueue(std::move(message), left, [this, id](const std::string& text) {
+            handover_.tell({{"answer", {{"id", id}, {"text", text}}}});
+        });
+    } else if (note.contains("answer")) {
+        auto asked = newcomers_.extract(note["answer"].at("id").get<MessageId>());
+        if (!asked.empty()) asked.mapped().answer(note["answer"].at("text").get<std::string>());
+    } else if (note.contains("operate")) {
+        const Json& told = note["operate"];
+        const auto number = told.at("number").get<std::uint64_t>();
+        operate({static_cast<Order>(told.at("order").get<int>()), told.at("who").get<std::string>()},
+            [this, number](const Verdict& verdict) {
+                handover_.tell({{"verdict", {{"number", number}, {"status", static_cast<int>(verdict.status)},
+                                                {"text", verdict.text}}}});
+            });
+    } else if (note.contains("verdict")) {
+        const Json& told = note["verdict"];
+        auto asked = relayed_.extract(told.at("number").get<std::uint64_t>());
+        if (asked.empty()) return;
+        const auto status = static_cast<boost::beast::http::status>(told.at("status").get<int>());
+        asked.mapped().answer({status, told.at("text").get<std::string>()});
+    } else if (note.contains("cancel")) {
+        targets_.cancel(note["cancel"].at(0).get<MessageId>(), note["cancel"].at(1).get<std::uint32_t>());
+    } else if (note.contains("held")) {
+        clients_.reserve(note["held"].at("clients").get<std::size_t>());
+        targets_.reserve(note["held"].at("calls").get<std::size_t>());
+    }
+}
+
+/// Its connections have ended with it: a call that was out may have run.
+void Forwarder::predecessor_left() {
+    std::cerr << "handover: the process before has ended\n";
+    clients_.reserve(0);
+    targets_.reserve(0);
+    for (const auto& [attempt, call] : std::exchange(elsewhere_, {})) {
+        OutcomeEvent event;
+        event.message = attempt.first;
+        event.attempt = attempt.second;
+        event.endpoint = call.endpoint;
+        event.outcome = Outcome::CalledOff;  // it says nothing of the target
+        event.rtt = std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - call.begun);
+        outcome(event);
+    }
 }
 
 /// What an earlier process owed is owed still, with what it knew of each attempt.
-void Forwarder::take_up() {
+void Forwarder::take_up(const std::set<AttemptId>& out) {
     const Wall wall = wall_now();
-    for (const Entry* entry : journal_.in_order()) {
+    for (const Entry* entry : journal_->in_order()) {
         const Message& message = entry->message;
         if (entry->notice) {
             discovery_.report(message.id, *entry->notice);
@@ -123,7 +425,8 @@
             event.tenant = tenant->second;
         event.left = message.deadline - wall;
         event.attempts = entry->attempts;
-        if (const auto& first = entry->may_have_run())
+        const bool is_out = entry->attempts > 0 && out.contains({message.id, entry->attempts - 1});
+        if (const auto& first = is_out ? entry->doubt : entry->may_have_run())
             event.doubt = MessageEvent::Doubt{wall - first->since, directory_.number_of(first->target)};
         observe(event);
     }
@@ -139,6 +442,12 @@
         }
         return !known;
     });
+    if (told.complete) listed_.clear();
+    for (const Target& target : told.targets)
+        if (target.condition == Condition::Gone)
+            listed_.erase(target.id);
+        else
+            listed_.insert_or_assign(target.id, target);
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
     for (const EndpointId endpoint : gone) targets_.forget(endpoint);
     ListEvent event;
@@ -157,7 +466,7 @@
         if (target.condition == Condition::Draining) targets_.close_idle(*endpoint);
         event.entries.push_back(entry);
     }
-    for (const std::string& target : journal_.bans())  // first: what the list names anew may be out by hand
+    for (const std::string& target : journal_->bans())  // first: what the list names anew may be out by hand
         if (const auto endpoint = directory_.find(target)) observe(BanEvent{*endpoint, true});
     observe(event);
 }
@@ -172,11 +481,16 @@
         };
         return;
     }
+    if (role_ == Role::Offered || role_ == Role::Released) {  // the owner answers, whichever that will be
+        if (role_ == Role::Released) handover_.tell(note_of(message));
+        newcomers_.emplace(id, Newcomer{std::move(message), std::move(answer)});
+        return;
+    }
     // A client that met a closed connection hands the same id in once more: it is held already.
-    if (journal_.find(id) != nullptr) return answer(resp::simple("OK"));
+    if (journal_->find(id) != nullptr) return answer(resp::simple("OK"));
     if (!directory_.has(message.destination, std::chrono::steady_clock::now()) && !directory_.blank())
         return answer(whole_list_ ? resp::error("ERR unknown destination") : busy(kRoomWait));
-    if (journal_.unended() + newcomers_.size() >= config_.settings.most_held) return answer(busy(kRoomWait));
+    if (journal_->unended() + newcomers_.size() >= config_.settings.most_held) return answer(busy(kRoomWait));
     MessageEvent event;
     event.message = id;
     event.destination = message.destination;
@@ -188,12 +502,14 @@
 }
 
 void Forwarder::outcome(const OutcomeEvent& event) {
-    const Entry* entry = journal_.find(event.message);
+    if (role_ == Role::Offered) return outcomes_.push_back(event);
+    if (role_ == Role::Released) return handover_.tell(note_of(event)), stop_if_done();
+    const Entry* entry = journal_->find(event.message);
     if (entry != nullptr && !entry->notice) {
         if (event.terminal)
-            journal_.delivered(event.message);
+            journal_->delivered(event.message);
         else
-            journal_.end_attempt(event.message, proves_never_ran(event.outcome));
+            journal_->end_attempt(event.message, proves_never_ran(event.outcome));
     }
     observe(event);
     stop_if_done();
@@ -201,13 +517,14 @@
 
 /// All that happens in one turn of the loop is told before the one decision on it.
 void Forwarder::observe(const Event& event) {
+    if (role_ != Role::Owner) return;
     sender_.observe(event, now());
     if (std::exchange(turn_due_, true)) return;
     asio::post(io_, [this] { turn(); });
 }
 
 void Forwarder::turn() {
-    turn_due_ = false;
+    if (!std::exchange(turn_due_, false) || role_ != Role::Owner) return;
     const std::vector<Action> actions = sender_.decide(now());
     answer_newcomers(actions);
     std::vector<Attempt> attempts;  // together: those to one target may share a call
@@ -248,7 +565,7 @@
 }
 
 std::string Forwarder::take_on(const Message& message) {
-    if (journal_.take_on(message)) return resp::simple("OK");
+    if (journal_->take_on(message)) return resp::simple("OK");
     observe(AbandonedEvent{message.id});
     return busy(kRoomWait);
 }
@@ -256,9 +573,10 @@
 /// On record before it goes out: after a crash it may have run.
 void Forwarder::begin(const Send& send, std::vector<Attempt>& attempts) {
     const std::string* target = directory_.name_of(send.endpoint);
-    const Entry* entry = journal_.find(send.message);
+    const Entry* entry = journal_->find(send.message);
     const std::uint32_t attempt = entry != nullptr ? entry->attempts : 0;
-    if (entry == nullptr || target == nullptr || !journal_.begin_attempt(send.message, *target, wall_now())) {
+    if (entry == nullptr || target == nullptr ||
+        !journal_->begin_attempt(send.message, *target, wall_now())) {
         OutcomeEvent event;
         event.message = send.message;
         event.endpoint = send.endpoint;
@@ -269,7 +587,11 @@
     attempts.push_back(
         {send.message, send.endpoint, attempt, entry->message.key, entry->message.body, send.time_out});
 }
-void Forwarder::carry_out(const CancelAttempt& cancel) { targets_.cancel(cancel.message, cancel.attempt); }
+void Forwarder::carry_out(const CancelAttempt& cancel) {
+    if (elsewhere_.contains({cancel.message, cancel.attempt}))
+        return handover_.tell({{"cancel", {cancel.message, cancel.attempt}}});
+    targets_.cancel(cancel.message, cancel.attempt);
+}
 void Forwarder::carry_out(const Refuse& refuse) {
     end(refuse.message, {true, std::chrono::duration_cast<milliseconds>(refuse.retry_after)});
 }
@@ -286,17 +608,21 @@
 void Forwarder::carry_out(const Log& log) { std::cerr << log.text << '\n'; }
 
 void Forwarder::end(MessageId id, const Notice& notice) {
-    if (journal_.find(id) == nullptr) return;  // its client has the answer itself
-    journal_.end(id, notice);
+    if (journal_->find(id) == nullptr) return;  // its client has the answer itself
+    journal_->end(id, notice);
     discovery_.report(id, notice);
 }
 
 void Forwarder::operate(const OperatorCall& call, const Management::Answer& answer) {
-    answer(verdict_on(call));
+    const bool replaced = role_ == Role::Offered || role_ == Role::Released;
+    if (call.order == Order::Ready || !replaced) return answer(verdict_on(call));
+    relayed_.emplace(++relays_, Relayed{call, answer});
+    if (role_ == Role::Released) handover_.tell(note_of(relays_, call));
 }
 
 Verdict Forwarder::verdict_on(const OperatorCall& call) {
     using boost::beast::http::status;
+    if (role_ == Role::Waiting) return {status::service_unavailable, "waits for the process before it"};
     switch (call.order) {
         case Order::Ready:
             if (drained_ || finishing_ || !clients_.listening())
@@ -318,9 +644,9 @@
 /// On record before it is in force: what operators were told must outlast the process.
 Verdict Forwarder::ban(const std::string& target, bool on) {
     using boost::beast::http::status;
-    if (!journal_.bans().contains(target) && !directory_.ever_listed(target))
+    if (!journal_->bans().contains(target) && !directory_.ever_listed(target))
         return {status::not_found, "no list has named " + plain(target)};
-    if (!journal_.ban(target, on)) return {status::service_unavailable, "no room to keep it"};
+    if (!journal_->ban(target, on)) return {status::service_unavailable, "no room to keep it"};
     std::cerr << "operators: " << plain(target) << (on ? " is out\n" : " is used again\n");
     if (const auto endpoint = directory_.find(target)) observe(BanEvent{*endpoint, on});
     return {status::ok, on ? "out" : "in use"};
@@ -346,6 +672,10 @@
 }
 
 void Forwarder::reload() {
+    if (role_ != Role::Owner) {  // read by whichever process is the owner next
+        reload_due_ = true;
+        return;
+    }
     Config fresh = within_descriptors(config_of_environment(&config_));
     fresh.settings.slots = std::min(fresh.settings.slots, targets_.most_connections());
     observe(SettingsEvent{fresh.settings});  // first: the module knows best which settings make no sense
@@ -359,8 +689,10 @@
 
 void Forwarder::finish() {
     if (std::exchange(finishing_, true)) return;
-    finish_step_.expires_after(kHandOver);
+    if (role_ == Role::Waiting) return io_.stop();
+    finish_step_.expires_after(role_ == Role::Released ? 0ms : kHandOver);
     finish_step_.async_wait([this](auto) {
+        if (role_ == Role::Offered) return;  // once it is over, whichever way, all goes on from there
         clients_.drain();
         stop_if_done();
     });
@@ -370,8 +702,12 @@
 
 /// With nothing owed and no client left, there is nothing to wait for.
 void Forwarder::stop_if_done() {
-    if (finishing_ && finish_step_.expiry() <= std::chrono::steady_clock::now() && clients_.empty() &&
-        journal_.entries().empty())
+    if (role_ == Role::Released) {
+        if ((finishing_ || lingered_) && clients_.empty() && targets_.calls() == 0) io_.stop();
+        return;
+    }
+    if (role_ == Role::Owner && finishing_ && finish_step_.expiry() <= std::chrono::steady_clock::now() &&
+        clients_.empty() && journal_->entries().empty() && elsewhere_.empty())
         io_.stop();
 }
 
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -3,6 +3,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -10,6 +12,7 @@
 #include "config.hpp"
 #include "directory.hpp"
 #include "discovery.hpp"
+#include "handover.hpp"
 #include "journal.hpp"
 #include "management.hpp"
 #include "peers.hpp"
@@ -19,10 +22,13 @@
 
 class Forwarder {
 public:
-    /// Takes up what the journal holds. Throws where the folder or an address cannot be used.
     Forwarder(asio::io_context& io, Config config);
 
+    /// Takes up what the journal holds, or what another process hands over. Throws where the folder or an
+    /// address cannot be used.
     void start();
+    /// It has stopped the loop because it cannot go on.
+    bool failed() const { return failed_; }
     /// Takes over what may change while it runs: the settings and the address of discovery. Throws where the
     /// file that is read anew makes no sense; nothing has changed then.
     void reload();
@@ -35,7 +41,29 @@
         Clients::Answer answer;
     };
 
-    void take_up();
+    using AttemptId = std::pair<MessageId, std::uint32_t>;
+    /// Waiting: another process owns what the folder holds. Offered: this one still does, and another is
+    /// about to take over. Released: another does, and this one has clients to answer and calls to wait for.
+    enum class Role { Waiting, Owner, Offered, Released };
+
+    Handover::Steps handover_steps();
+    void own(const std::optional<Json>& offer);
+    Json offer();
+    void let_go();
+    void released();
+    void take_back(bool offered);
+    void told(const Json& note);
+    void predecessor_left();
+    void adopt(const Json& offer, const std::vector<Targets::Out>& out);
+    void hand_calls_on(const std::vector<Targets::Out>& out);
+    std::vector<Targets::Out> out_elsewhere(const Json& calls);
+    Json calls_out() const;
+    void learn(const Json& learned);
+    Json learned() const;
+    void tell_held();
+    void relay(const OperatorCall& call, Management::Answer answer);
+    void enqueue_here_again();
+    void take_up(const std::set<AttemptId>& out);
     void operate(const OperatorCall& call, const Management::Answer& answer);
     Verdict verdict_on(const OperatorCall& call);
     Verdict ban(const std::string& target, bool on);
@@ -69,7 +97,7 @@
 
     asio::io_context& io_;
     Config config_;
-    Journal journal_;
+    std::optional<Journal> journal_;  // while this process owns the folder
     cometspoke::Sender sender_;
     Directory directory_;
     Targets targets_;
@@ -77,7 +105,24 @@
     Peers peers_;
     Clients clients_;
     Management management_;
-    asio::steady_timer timer_, send_off_, finish_step_, finish_end_;
+    Handover handover_;
+    asio::steady_timer timer_, send_off_, finish_step_, finish_end_, held_pause_, linger_;
+    Role role_ = Role::Waiting;
+    bool failed_ = false, reload_due_ = false, lingered_ = false;
+    std::map<std::string, Target> listed_;            // as last told, for another process
+    Json offer_;                                      // what was handed over last: it may come back
+    std::vector<cometspoke::OutcomeEvent> outcomes_;  // since the offer, told to the owner once there is one
+    struct Elsewhere {
+        EndpointId endpoint = 0;
+        std::chrono::steady_clock::time_point begun{};
+    };
+    std::map<AttemptId, Elsewhere> elsewhere_;  // out on the connections of the process before
+    struct Relayed {
+        OperatorCall call;
+        Management::Answer answer;
+    };
+    std::map<std::uint64_t, Relayed> relayed_;  // operators' calls that wait for the owner
+    std::uint64_t relays_ = 0;
     bool turn_due_ = false, finishing_ = false;
     bool drained_ = false;                     // by the operators: the process goes on
     std::map<MessageId, Newcomer> newcomers_;  // handed in this turn, not answered yet
--- /dev/null
+++ b/src/net/handover.cpp
@@ -0,0 +1,285 @@
+#include "handover.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+#include <deque>
+#include <iostream>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace lockgw {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kClaimAgain = 30ms;   // the owner may be starting, ending, or handing over already
+constexpr auto kClaimWithin = 3s;    // for each step of one that claims,
+constexpr auto kOfferWithin = 1s;    // and of one that offers: its clients wait meanwhile
+constexpr auto kRegainPause = 10ms;  // the kernel frees a dead process's lock and socket in its own order
+constexpr int kRegainTries = 200;
+constexpr std::uint32_t kMostFrame = 64 << 20;
+
+}  // namespace
+
+/// Frames of a length and CBOR (bodies hold any bytes), in both directions.
+class HandoverLink : public std::enable_shared_from_this<HandoverLink> {
+public:
+    using Local = asio::local::stream_protocol;
+
+    HandoverLink(Local::socket socket, std::function<void(const Json&)> heard, std::function<void()> ended)
+        : socket_(std::move(socket)), heard_(std::move(heard)), ended_(std::move(ended)) {}
+
+    void start() { read_length(); }
+    void send(const Json& note) {
+        if (closed_) return;
+        const auto bytes = Json::to_cbor(note);
+        const auto length = static_cast<std::uint32_t>(bytes.size());
+        std::string frame(sizeof length, '\0');
+        std::memcpy(frame.data(), &length, sizeof length);
+        frame.append(bytes.begin(), bytes.end());
+        out_.push_back(std::move(frame));
+        if (out_.size() == 1) write();
+    }
+    /// Nothing is told any more.
+    void close() {
+        closed_ = true;
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+    }
+
+private:
+    template <class Next>
+    auto guarded(Next next) {
+        return [self = shared_from_this(), next](auto failed, auto&&...) {
+            if (self->closed_) return;
+            failed ? self->end() : next(*self);
+        };
+    }
+    void end() {
+        close();
+        ended_();
+    }
+    void read_length() {
+        asio::async_read(socket_, asio::buffer(&length_, sizeof length_), guarded([](HandoverLink& self) {
+            if (self.length_ > kMostFrame) return self.end();
+            self.in_.resize(self.length_);
+            self.read_note();
+        }));
+    }
+    void read_note() {
+        asio::async_read(socket_, asio::buffer(in_), guarded([](HandoverLink& self) {
+            const Json note = Json::from_cbor(self.in_, true, false);
+            if (note.is_discarded() || !note.is_object()) return self.end();
+            try {
+                self.heard_(note);
+            } catch (const std::exception& bad) {  // one note must not end what the others carry
+                std::cerr << "handover: " << bad.what() << '\n';
+            }
+            if (!self.closed_) self.read_length();
+        }));
+    }
+    void write() {
+        asio::async_write(socket_, asio::buffer(out_.front()), guarded([](HandoverLink& self) {
+            self.out_.pop_front();
+            if (!self.out_.empty()) self.write();
+        }));
+    }
+
+    Local::socket socket_;
+    std::function<void(const Json&)> heard_;
+    std::function<void()> ended_;
+    std::uint32_t length_ = 0;
+    std::vector<std::uint8_t> in_;
+    std::deque<std::string> out_;
+    bool closed_ = false;
+};
+
+Handover::Handover(asio::io_context& io, std::filesystem::path folder, Steps steps)
+    : io_(io),
+      folder_(std::move(folder)),
+      steps_(std::move(steps)),
+      acceptor_(io),
+      timer_(io),
+      regain_pause_(io) {}
+Handover::~Handover() {
+    if (link_) link_->close();
+}
+
+void Handover::claim() {
+    folder_file_ = Descriptor(::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    lock_file_ = Descriptor(::open((folder_ / "owner").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+    if (folder_file_.get() < 0 || lock_file_.get() < 0)
+        throw std::runtime_error("the folder " + folder_.string() + " cannot be used");
+    try_claim();
+}
+
+bool Handover::lock() { return ::flock(lock_file_.get(), LOCK_EX | LOCK_NB) == 0; }
+void Handover::unlock() { ::flock(lock_file_.get(), LOCK_UN); }
+
+/// The folder under a name that is short whatever its own is.
+static std::string socket_name(const Descriptor& folder) {
+    return "/proc/self/fd/" + std::to_string(folder.get()) + "/handover";
+}
+
+void Handover::try_claim() {
+    if (lock()) return become_owner(std::nullopt);
+    if (!std::exchange(waiting_told_, true)) std::cerr << "handover: another process owns the folder\n";
+    state_ = State::Claiming;
+    Local::socket socket(io_);
+    boost::system::error_code failed;
+    socket.connect(socket_name(folder_file_), failed);
+    if (failed) return claim_again();
+    link_ = std::make_shared<HandoverLink>(
+        std::move(socket), [this](const Json& note) { heard(note); }, [this] { ended(); });
+    link_->start();
+    link_->send({{"step", "claim"}});
+    within(kClaimWithin);
+}
+
+void Handover::claim_again() {
+    if (link_) link_->close();
+    link_.reset();
+    offer_.reset();
+    state_ = State::Waiting;
+    timer_.expires_after(kClaimAgain);
+    timer_.async_wait([this, watch = ++watch_](auto) {
+        if (watch == watch_) try {
+                try_claim();
+            } catch (const std::exception& bad) {
+                steps_.lost(bad.what());
+            }
+    });
+}
+
+/// The other one dawdles: what it has not been told go for stays here, or is claimed anew.
+void Handover::within(std::chrono::milliseconds span) {
+    timer_.expires_after(span);
+    timer_.async_wait([this, watch = ++watch_](auto) {
+        if (watch != watch_) return;
+        link_->close();
+        ended();
+    });
+}
+/// Also one that is due already and waits for its turn in the loop.
+void Handover::stop_watch() {
+    ++watch_;
+    timer_.cancel();
+}
+
+void Handover::claimed(const std::string& step, const Json& note) {
+    if (step == "offer" && state_ == State::Claiming) {
+        state_ = State::Claimed;
+        offer_ = note.at("offer");
+        link_->send({{"step", "ready"}});
+        within(kClaimWithin);
+    } else if (step == "go" && state_ == State::Claimed) {
+        stop_watch();
+        if (!lock()) return claim_again();
+        become_owner(std::exchange(offer_, std::nullopt));
+    }
+}
+
+void Handover::become_owner(const std::optional<Json>& offer) try {
+    state_ = State::Owner;
+    if (!link_) listen();  // with the one before still there, only once that has ended
+    steps_.own(offer);
+} catch (const std::exception& bad) {
+    if (!offer) throw;
+    if (link_) link_->close();
+    steps_.lost(bad.what());
+}
+
+void Handover::listen() {
+    const std::string name = socket_name(folder_file_);
+    ::unlink(name.c_str());
+    boost::system::error_code failed;
+    acceptor_.open(Local(), failed);
+    if (!failed) acceptor_.bind(Local::endpoint(name), failed);
+    if (!failed) acceptor_.listen(asio::socket_base::max_listen_connections, failed);
+    if (failed) {  // the forwarder works without; only its process cannot be replaced in service
+        std::cerr << "handover: cannot listen: " << failed.message() << '\n';
+        return acceptor_.close(failed), void();
+    }
+    accept();
+}
+
+/// One at a time, and none while there is another process already.
+void Handover::accept() {
+    acceptor_.async_accept([this](auto failed, Local::socket socket) {
+        if (failed || state_ != State::Owner || link_) return;
+        link_ = std::make_shared<HandoverLink>(
+            std::move(socket), [this](const Json& note) { heard(note); }, [this] { ended(); });
+        link_->start();
+        within(kOfferWithin);
+    });
+}
+
+void Handover::asked(const std::string& step) {
+    if (step == "claim" && state_ == State::Owner && acceptor_.is_open()) {
+        state_ = State::Offered;
+        link_->send({{"step", "offer"}, {"offer", steps_.offer()}});
+        within(kOfferWithin);
+    } else if (step == "ready" && state_ == State::Offered) {
+        stop_watch();
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);  // the other one listens from now on
+        steps_.let_go();
+        unlock();
+        state_ = State::Released;
+        link_->send({{"step", "go"}});
+        steps_.released();
+    }
+}
+
+void Handover::heard(const Json& note) {
+    const auto step = note.find("step");
+    if (step == note.end()) return steps_.told(note);
+    const auto name = step->get<std::string>();
+    state_ == State::Claiming || state_ == State::Claimed ? claimed(name, note) : asked(name);
+}
+
+void Handover::tell(const Json& note) {
+    if (link_) link_->send(note);
+}
+
+/// The connection has ended, and with it, mostly, the other process.
+void Handover::ended() {
+    stop_watch();
+    const State before = state_;
+    link_.reset();
+    if (before == State::Claiming || before == State::Claimed) return claim_again();
+    if (before == State::Released) {
+        regain_tries_ = 0;
+        return regain();
+    }
+    state_ = State::Owner;
+    const bool listening = acceptor_.is_open();
+    listening ? accept() : listen();
+    if (before == State::Offered)
+        steps_.take_back(true);
+    else if (!listening)
+        steps_.left();
+}
+
+void Handover::regain() {
+    if (lock()) {
+        state_ = State::Owner;
+        listen();
+        return steps_.take_back(false);
+    }
+    if (++regain_tries_ > kRegainTries) return steps_.lost("a third process owns the folder");
+    regain_pause_.expires_after(kRegainPause);
+    regain_pause_.async_wait([this](auto cancelled) {
+        if (!cancelled) regain();
+    });
+}
+
+}  // namespace lockgw
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -197,6 +197,18 @@
 
 }  // namespace
 
+std::string record_of(const Message& message) {
+    Entry entry;
+    entry.message = message;
+    return record_of(entry);
+}
+Message message_of_record(std::string_view record) {
+    Reader reader(record);
+    reader.number<std::uint8_t>();  // its kind
+    const auto id = reader.number<MessageId>();
+    return read_entry(id, reader).message;
+}
+
 Descriptor::Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
 Descriptor& Descriptor::operator=(Descriptor&& other) noexcept {
     std::swap(fd_, other.fd_);
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -53,6 +53,10 @@
     const std::optional<BegunAttempt>& may_have_run() const { return doubt ? doubt : out; }
 };
 
+/// A message as bytes and back, for another process. Throws std::out_of_range where the bytes are no message.
+std::string record_of(const Message& message);
+Message message_of_record(std::string_view record);
+
 class Descriptor {
 public:
     explicit Descriptor(int fd = -1) : fd_(fd) {}
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -17,6 +17,11 @@
     receive();
 }
 
+void Peers::stop() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
 void Peers::receive() {
     socket_.async_receive_from(asio::buffer(in_), from_, [this](auto failed, std::size_t count) {
         if (failed == asio::error::operation_aborted) return;
--- a/src/net/peers.hpp
+++ b/src/net/peers.hpp
@@ -17,6 +17,8 @@
     Peers(asio::io_context& io, const Config& config, Note note);
 
     void start();
+    /// So that another process can bind the address.
+    void stop();
     void tell(std::optional<std::size_t> to, const std::string& bytes);
 
 private:
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -80,6 +80,7 @@
 
     EndpointId endpoint() const { return endpoint_; }
     const Tcp::endpoint& address() const { return address_; }
+    Clock::time_point begun() const { return begun_; }
 
     void start(std::vector<Attempt> attempts) {
         begun_ = Clock::now();
@@ -341,6 +342,25 @@
         if (connection->endpoint() == endpoint) drop(connection);
 }
 
+void Targets::close_all_idle() {
+    for (const Connection& connection : std::exchange(idle_, {})) connection->close();
+    for (const Connection& connection : std::exchange(finishing_, {})) connection->close();
+}
+
+std::vector<Targets::Out> Targets::out() const {
+    std::map<const TargetConnection*, Out> calls;
+    for (const auto& [attempt, connection] : attempts_) {
+        Out& call = calls[connection.get()];
+        call.endpoint = connection->endpoint();
+        call.begun = connection->begun();
+        call.attempts.push_back(attempt);
+    }
+    std::vector<Out> all;
+    for (auto& [connection, call] : calls) all.push_back(std::move(call));
+    std::sort(all.begin(), all.end(), [](const Out& a, const Out& b) { return a.begun < b.begun; });
+    return all;
+}
+
 Targets::Connection Targets::take_idle(EndpointId endpoint) {
     while (true) {
         const auto found = std::find_if(idle_.rbegin(), idle_.rend(),
@@ -402,12 +422,13 @@
 
 /// Under the limit of descriptors: an idle connection goes first, then one whose call has its outcome.
 bool Targets::make_room() {
-    if (calls_ + idle_.size() + finishing_.size() < most_) return true;
+    const std::size_t most = most_ - std::min(elsewhere_, most_ / 2);
+    if (calls_ + idle_.size() + finishing_.size() < most) return true;
     if (!idle_.empty())
         drop(Connection(idle_.front()));
     else if (!finishing_.empty())
         drop(Connection(finishing_.front()));
-    return calls_ + idle_.size() + finishing_.size() < most_;
+    return calls_ + idle_.size() + finishing_.size() < most;
 }
 
 void Targets::ended(const std::vector<OutcomeEvent>& outcomes) {
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -47,6 +47,17 @@
     void cancel(MessageId message, std::uint32_t attempt);
     void close_idle(EndpointId endpoint);
     std::size_t most_connections() const { return most_; }
+    /// So many connections that count here are held by another process.
+    void reserve(std::size_t elsewhere) { elsewhere_ = elsewhere; }
+    std::size_t calls() const { return calls_; }
+    void close_all_idle();
+    /// What is out, by call.
+    struct Out {
+        EndpointId endpoint = 0;
+        std::chrono::steady_clock::time_point begun{};
+        std::vector<std::pair<MessageId, std::uint32_t>> attempts;
+    };
+    std::vector<Out> out() const;
 
 private:
     friend class TargetConnection;
@@ -77,7 +88,7 @@
 
     asio::io_context& io_;
     const Config& config_;
-    std::size_t most_;
+    std::size_t most_, elsewhere_ = 0;
     Done done_;
     std::array<char, 16 * 1024> in_;  // of the connection that is read just now
     struct Place {
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,211 @@
+// Replacing the process: two real processes over one folder and one listening socket.
+#include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/read.hpp>
+
+#include "node_fixture.hpp"
+
+namespace lockgw {
+namespace {
+
+class HandoverTest : public NodeTest {
+protected:
+    HandoverTest() : before(node.other_address()), after(node.other_address()) {
+        node.hold_listener();
+        node.config()["management"] = text_of(before);
+        node.config()["settings"]["family_info"]["slots"] = 1;
+    }
+
+    static bool says_yes(const Tcp::endpoint& management) {
+        const auto until = Clock::now() + kDeadline;
+        while (operate(management, "GET", "/ready") != 200) {
+            if (Clock::now() > until) return false;
+            std::this_thread::sleep_for(5ms);
+        }
+        return true;
+    }
+    void replace() {
+        node.start_beside(after);
+        ASSERT_TRUE(says_yes(after)) << node.log();
+    }
+    void end_former() {
+        ::kill(node.former(), SIGTERM);
+        const int status = node.wait_former();
+        EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status;
+    }
+    static std::string id_of(const Exchange& exchange) { return exchange.header("X-Call-Id"); }
+
+    Tcp::endpoint before, after;
+    const std::string second = "00000000000000a2", third = "00000000000000a3";
+};
+
+// One call is out on the old process's connection: the new one counts its slot, and does not send it again.
+TEST_F(HandoverTest, HandsOnWhatIsHeldAndWhatIsOut) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    const Exchange out = target.next();
+    ASSERT_EQ(enqueue(client, second), "+OK");
+    replace();
+    EXPECT_EQ(operate(before, "GET", "/ready"), 503);
+    EXPECT_TRUE(target.none_within(300ms));
+    out.answer(200);
+    const Exchange next = target.next();
+    EXPECT_EQ(id_of(next), second);
+    next.answer(200);
+    end_former();
+    Client fresh = node.client();
+    ASSERT_EQ(enqueue(fresh, third), "+OK");
+    EXPECT_EQ(id_of(target.next()), third);
+}
+
+// A request that the old process has begun to read is answered there, by the word of the new one.
+TEST_F(HandoverTest, AnswersWhatItHasReadAndClosesBetweenRequests) {
+    node.start_ready();
+    Client idle = node.client(), half = node.client();
+    ASSERT_EQ(idle.ask({"PING"}), "+PONG");
+    ASSERT_EQ(half.ask({"PING"}), "+PONG");
+    const std::string request = "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$16\r\n" + id +
+                                "\r\n$28\r\nc=safe,t=acme,d=30000,dest=7\r\n$1\r\nB\r\n";
+    half.send(request.substr(0, 30));
+    std::this_thread::sleep_for(50ms);
+    replace();
+    EXPECT_TRUE(idle.ended());
+    half.send(request.substr(30));
+    EXPECT_EQ(half.line(), "+OK");
+    EXPECT_TRUE(half.ended());
+    EXPECT_EQ(id_of(target.next()), id);
+    end_former();
+}
+
+TEST_F(HandoverTest, HandsOnToldWaitsBansAndADrain) {
+    HttpStub other;
+    node.config()["settings"]["family_info"]["slots"] = 4;
+    node.start_ready();
+    tell(agent_request("/v1/servers"),
+        list(5, true, {member("s-1", target.address(), 7), member("s-2", other.address(), 8)}));
+    agent_request("/v1/servers?from=5");
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    const Exchange refused = target.next();
+    const auto told = Clock::now();
+    refused.answer(429, "Retry-After: 2.5\r\n");
+    ASSERT_EQ(operate(before, "POST", "/endpoints/disable?who=s-2"), 200);
+    ASSERT_EQ(enqueue(client, second, "safe", 30000, "B", 8), "+OK");
+    ASSERT_EQ(operate(before, "POST", "/drain"), 200);
+    node.start_beside(after);
+    ASSERT_TRUE(node.logs("handover: taken over"));
+    EXPECT_EQ(operate(after, "GET", "/ready"), 503);
+    EXPECT_EQ(node.client().ask({"PING"})[0], '-');
+    EXPECT_EQ(operate(before, "POST", "/undrain"), 200);  // either address serves the one forwarder
+    EXPECT_TRUE(says_yes(after));
+    EXPECT_EQ(id_of(target.next()), id);
+    EXPECT_GE(Clock::now() - told, 2500ms);
+    EXPECT_TRUE(other.none_within(100ms));
+    EXPECT_EQ(operate(after, "POST", "/endpoints/enable?who=s-2"), 200);
+    EXPECT_EQ(id_of(other.next()), second);
+}
+
+TEST_F(HandoverTest, TheNewOneGoesOnWhereTheOldOneIsKilled) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    target.next();
+    ASSERT_EQ(enqueue(client, second, "unsafe"), "+OK");
+    replace();
+    ::kill(node.former(), SIGKILL);
+    node.wait_former();
+    std::set<std::string> went;  // the one that was out may be repeated; no order is owed
+    for (int i = 0; i < 2; ++i) {
+        const Exchange call = target.next();
+        went.insert(id_of(call));
+        call.answer(200);
+    }
+    EXPECT_EQ(went, (std::set<std::string>{id, second}));
+    EXPECT_TRUE(target.none_within(300ms));
+}
+
+TEST_F(HandoverTest, TheOldOneGoesOnWhereTheNewOneIsKilled) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "unsafe"), "+OK");
+    const Exchange out = target.next();
+    ASSERT_EQ(enqueue(client, second), "+OK");
+    replace();
+    node.kill();
+    node.wait();
+    node.back_to_former();
+    ASSERT_TRUE(says_yes(before)) << node.log();
+    Client fresh = node.client();
+    ASSERT_EQ(enqueue(fresh, third), "+OK");
+    EXPECT_TRUE(target.none_within(200ms));  // the slot of the call that is out still counts
+    out.answer(200);
+    for (const std::string& expected : {second, third}) {
+        const Exchange call = target.next();
+        EXPECT_EQ(id_of(call), expected);
+        call.answer(200);
+    }
+    EXPECT_TRUE(target.none_within(300ms));
+}
+
+/// A process that claims, and then leaves or goes silent at some step.
+class FalseClaim {
+public:
+    explicit FalseClaim(const std::filesystem::path& state) : socket_(io_) {
+        socket_.connect(asio::local::stream_protocol::endpoint((state / "handover").string()));
+    }
+    void send(const Json& note) {
+        const auto bytes = Json::to_cbor(note);
+        const auto length = static_cast<std::uint32_t>(bytes.size());
+        asio::write(socket_, asio::buffer(&length, sizeof length));
+        asio::write(socket_, asio::buffer(bytes));
+    }
+    Json hear() {
+        std::uint32_t length = 0;
+        asio::read(socket_, asio::buffer(&length, sizeof length));
+        std::vector<std::uint8_t> bytes(length);
+        asio::read(socket_, asio::buffer(bytes));
+        return Json::from_cbor(bytes);
+    }
+
+private:
+    asio::io_context io_;
+    asio::local::stream_protocol::socket socket_;
+};
+
+TEST_F(HandoverTest, OneThatClaimsAndGoesSilentOrLeavesChangesNothing) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    const Exchange out = target.next();
+    const FalseClaim silent(node.state());  // says nothing at all
+    std::this_thread::sleep_for(1200ms);
+    std::optional<FalseClaim> claim(node.state());
+    claim->send({{"step", "claim"}});
+    EXPECT_EQ(claim->hear()["step"], "offer");
+    out.answer(200);
+    Client waiting = node.client();  // its connection waits for whoever owns the folder in the end
+    claim.reset();
+    EXPECT_EQ(enqueue(waiting, second), "+OK");
+    EXPECT_EQ(id_of(target.next()), second);
+    FalseClaim hangs(node.state());
+    hangs.send({{"step", "claim"}});
+    EXPECT_EQ(hangs.hear()["step"], "offer");
+    EXPECT_EQ(enqueue(client, third), "+OK");  // once it has waited long enough
+    EXPECT_TRUE(says_yes(before));
+}
+
+TEST_F(HandoverTest, BindsByItselfWhereNothingIsInherited) {
+    Node own(node.config());
+    own.start_ready();
+    Client kept = own.client();
+    ASSERT_EQ(kept.ask({"PING"}), "+PONG");
+    own.start_beside(after);
+    ASSERT_TRUE(says_yes(after)) << own.log();
+    EXPECT_TRUE(kept.ended());
+    ::kill(own.former(), SIGTERM);
+    own.wait_former();
+    EXPECT_EQ(own.client().ask({"PING"}), "+PONG");
+}
+
+}  // namespace
+}  // namespace lockgw
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -32,13 +32,7 @@
 protected:
     ManagementTest() : management(node.other_address()) { node.config()["management"] = text_of(management); }
 
-    /// The status that an operator gets; 0 where the connection ends without one.
-    int call(const std::string& method, const std::string& path) {
-        Client client(management);
-        client.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
-        const std::string line = client.line();
-        return line.size() > 12 ? std::stoi(line.substr(9, 3)) : 0;
-    }
+    int call(const std::string& method, const std::string& path) { return operate(management, method, path); }
     int post(const std::string& path) { return call("POST", path); }
     void list_two(int revision, HttpStub& other) {
         tell(agent_request("/v1/servers"),
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -77,10 +77,6 @@
                 {"report", {{"source", "inline"}, {"columns", {"x0", "x1"}}}}}}};
 }
 
-inline std::string text_of(const Tcp::endpoint& endpoint) {
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 /// One request that came to a stub, until it is answered or its connection ended.
 struct Exchange {
     http::request<http::string_body> request;
@@ -216,6 +212,16 @@
     boost::system::error_code failed_;
 };
 
+/// The status that an operator gets; 0 where the connection ends without one.
+inline int operate(const Tcp::endpoint& management, const std::string& method, const std::string& path) try {
+    Client client(management);
+    client.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    const std::string line = client.line();
+    return line.size() > 12 ? std::stoi(line.substr(9, 3)) : 0;
+} catch (const boost::system::system_error&) {
+    return 0;
+}
+
 /// The built program with its folder; an address that stays the same over restarts.
 class Node {
 public:
@@ -231,23 +237,56 @@
         return Tcp::acceptor(io, {address, 0}).local_endpoint();
     }
     ~Node() {
-        if (pid_ > 0) kill(), wait();
+        for (const pid_t one : {pid_, former_})
+            if (one > 0) ::kill(one, SIGKILL), waitpid(one, nullptr, 0);
     }
 
+    /// The test holds the clients' listening socket, and every process inherits it.
+    void hold_listener() {
+        held_.emplace(held_io_, address_);
+        address_ = held_->local_endpoint();
+        config_["listen"] = text_of(address_);
+    }
     void start() {
-        const std::string path = config_path().string();
         write_config(config_.dump());
         std::filesystem::create_directories(state());
-        pid_ = fork();
-        if (pid_ == 0) {
+        pid_ = spawn("");
+    }
+    /// A second process beside the one that runs, which becomes the former one.
+    void start_beside(const Tcp::endpoint& management) {
+        former_ = pid_;
+        pid_ = spawn(text_of(management));
+    }
+    pid_t former() const { return former_; }
+    int wait_former() {
+        int status = 0;
+        waitpid(std::exchange(former_, 0), &status, 0);
+        return status;
+    }
+    /// The newer process has gone: the former one is the process again.
+    void back_to_former() { pid_ = std::exchange(former_, 0); }
+
+private:
+    pid_t spawn(const std::string& management) const {
+        const std::string path = config_path().string();
+        const pid_t pid = fork();
+        if (pid == 0) {
             setenv("NODE_CONFIG", path.c_str(), 1);
             setenv("NODE_STATE", state().c_str(), 1);
+            if (!management.empty()) setenv("NODE_MANAGEMENT", management.c_str(), 1);
+            if (held_) {
+                dup2(const_cast<Tcp::acceptor&>(*held_).native_handle(), kInherited);
+                setenv("NODE_FD", std::to_string(kInherited).c_str(), 1);
+            }
             const int log = ::open(log_path().c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(log, 1), dup2(log, 2);
             execl(NODE_PATH, NODE_PATH, static_cast<char*>(nullptr));
             _exit(127);
         }
+        return pid;
     }
+
+public:
     void start_ready() {
         start();
         const auto until = std::chrono::steady_clock::now() + kDeadline;
@@ -306,10 +345,14 @@
         std::filesystem::rename(fresh, config_path());
     }
 
+    static constexpr int kInherited = 40;
+
     TemporaryFolder folder_;
     Json config_;
     Tcp::endpoint address_;
-    pid_t pid_ = 0;
+    asio::io_context held_io_;
+    std::optional<Tcp::acceptor> held_;
+    pid_t pid_ = 0, former_ = 0;
 };
 
 }  // namespace lockgw
