--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -242,7 +242,7 @@
       sweep_(io) {}
 Clients::~Clients() = default;
 
-void Clients::listen() {
+void Clients::open() {
     if (config_.inherited) {
         // marked: no program that this one may start has any use for it
         ::fcntl(*config_.inherited, F_SETFD, FD_CLOEXEC);
@@ -254,6 +254,8 @@
         acceptor_.listen();
     }
     acceptor_.non_blocking(true);
+}
+void Clients::listen() {
     accept();
     sweep();
 }
@@ -265,14 +267,7 @@
 }
 void Clients::resume() {
     paused_ = false;
-    boost::system::error_code ignored;
-    if (!acceptor_.is_open() && !draining_ && !config_.inherited) {
-        acceptor_.open(config_.listen.protocol());
-        acceptor_.set_option(Tcp::acceptor::reuse_address(true));
-        acceptor_.bind(config_.listen);
-        acceptor_.listen();
-        acceptor_.non_blocking(true);
-    }
+    if (!acceptor_.is_open() && !draining_ && !config_.inherited) open();
     if (acceptor_.is_open()) accept();
 }
 void Clients::leave() {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -29,6 +29,8 @@
     Clients(asio::io_context& io, const Config& config, std::size_t most_connections, Enqueue enqueue);
     ~Clients();
 
+    /// Takes the listening socket that is inherited, or binds one. Throws where neither can be had.
+    void open();
     void listen();
     /// Accepts nothing for now; those who connect wait in the listener's queue.
     void pause();
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -153,6 +153,7 @@
 }
 
 void Forwarder::own(const std::optional<Json>& offer) {
+    clients_.open();  // first: where another program has the address, its journal must not be touched
     journal_.emplace(config_.state, config_.disk_bytes);
     role_ = Role::Owner;
     try {
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -269,7 +269,7 @@
         steps_.left();
 }
 
-void Handover::regain() {
+void Handover::regain() try {
     if (lock()) {
         state_ = State::Owner;
         listen();
@@ -280,6 +280,8 @@
     regain_pause_.async_wait([this](auto cancelled) {
         if (!cancelled) regain();
     });
+} catch (const std::exception& bad) {
+    steps_.lost(bad.what());
 }
 
 }  // namespace lockgw
--- a/src/net/management.cpp
+++ b/src/net/management.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr auto kWholeCall = 2s;   // from connecting to the call's last byte
+constexpr auto kWholeCall = 5s;   // from connecting to the call's last byte: some write in small pieces
 constexpr auto kCloseAfter = 1s;  // for the answer to be taken
 constexpr auto kAcceptPause = 20ms;
 constexpr std::uint32_t kMostHeader = 4096;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -46,6 +46,103 @@
     EXPECT_LE(sent_within(true), 15u);
 }
 
+// ---- one Sender in the place of another ----
+
+// What `before` has learned, told to a fresh Sender that knows the same endpoint and holds the same messages.
+Rig taken_over(Rig& before, Settings settings, const std::vector<MessageId>& held) {
+    Rig after(std::move(settings));
+    after.now = before.now;
+    after.list(0, 1);
+    for (const MessageId id : held) after.arrive(id, 1);
+    for (const Learned& one : before.sender.learned(before.now)) after.sender.observe(one, after.now);
+    return after;
+}
+
+TEST(Successor, HeedsAWaitThatTheOneBeforeWasTold) {
+    Rig before;
+    before.list(0, 1);
+    before.arrive(1, 1);
+    const auto sends = before.sends();
+    ASSERT_EQ(sends.size(), 1u);
+    before.outcome(sends[0], Outcome::TurnedAway, 0, ms(1500));
+    before.decide();
+    Rig after = taken_over(before, make_settings(), {1});
+    EXPECT_TRUE(after.pass(ms(1490)).empty());
+    EXPECT_EQ(after.pass(ms(1000)).size(), 1u);
+}
+
+TEST(Successor, TakesAnOutageForOne) {
+    Rig before;
+    before.list(0, 1);
+    for (int i = 0; i < 6; ++i) {
+        before.arrive(100 + i, 1);
+        for (const Send& send : before.sends()) before.outcome(send, Outcome::ServerError);
+        before.now += ms(200);
+    }
+    std::vector<MessageId> held;
+    for (MessageId id = 1; id <= 20; ++id) held.push_back(id);
+    Rig after = taken_over(before, make_settings(), held);
+    EXPECT_LE(after.sends().size(), 1u);  // a trial at most
+    Rig unaware;
+    unaware.list(0, 1);
+    for (const MessageId id : held) unaware.arrive(id, 1);
+    EXPECT_GT(unaware.sends().size(), 1u);
+}
+
+// The call is on another process's connection: its slot counts here, and its message is not sent beside it.
+TEST(Successor, CountsACallThatIsOutElsewhere) {
+    Settings settings = make_settings();
+    settings.slots = 1;
+    Rig rig(settings);
+    rig.list(0, 1);
+    MessageEvent out{1, 1, kRetryable, std::nullopt, std::nullopt, ms(20000)};
+    out.attempts = 2;
+    rig.sender.observe(out, rig.now);
+    rig.arrive(2, 1);
+    rig.sender.observe(CallHandedOn{0, ms(50), {{1, 1}}}, rig.now);
+    EXPECT_TRUE(rig.pass(ms(300)).empty());
+    rig.outcome(Send{1, 0}, Outcome::ServerError, 1);
+    const auto next = rig.pass(ms(2000));
+    ASSERT_FALSE(next.empty());
+    EXPECT_EQ(next[0].second.message, 2u);
+}
+
+// Its message has ended, and its endpoint is listed no more: the slot counts all the same until the outcome.
+TEST(Successor, CountsACallOfWhichNothingElseIsKnown) {
+    Settings settings = make_settings();
+    settings.slots = 1;
+    Rig rig(settings);
+    rig.list(0, 1);
+    rig.arrive(2, 1);
+    rig.sender.observe(CallHandedOn{9, ms(50), {{1, 0}}}, rig.now);
+    EXPECT_TRUE(rig.pass(ms(300)).empty());
+    rig.outcome(Send{1, 9}, Outcome::CalledOff, 0);
+    EXPECT_EQ(rig.sent(), Ids{2});
+    rig.pass(ms(3000), ms(100));
+}
+
+// ---- other settings ----
+
+TEST(NewSettings, HoldForNewMessagesAndNeverHalf) {
+    Settings settings = make_settings();
+    settings.slots = 1;
+    Rig rig(settings);
+    rig.list(0, 1);
+    rig.arrive(1, 1);  // may be repeated
+    const auto first = rig.sends();
+    ASSERT_EQ(first.size(), 1u);
+    settings.classes = {make_class(Effect::Fragile)};
+    Settings senseless = settings;
+    senseless.max_attempts = 0;
+    EXPECT_THROW(rig.sender.observe(SettingsEvent{senseless}, rig.now), std::invalid_argument);
+    rig.sender.observe(SettingsEvent{settings}, rig.now);
+    rig.outcome(first[0], Outcome::NoAnswer);
+    EXPECT_EQ(rig.pass(ms(2000)).size(), 1u);                       // message 1 again
+    EXPECT_THROW(rig.arrive(2, 1, kDedup), std::invalid_argument);  // there is one class now
+    settings.kinds.clear();
+    EXPECT_THROW(rig.sender.observe(SettingsEvent{settings}, rig.now), std::invalid_argument);
+}
+
 // ---- tags ----
 
 // One slot, weights 1 and 0.5, a call every 0.7 s. By hand, in seconds from the start: both level at -2;
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -77,6 +77,16 @@
     EXPECT_TRUE(dawdlers.back().ended());  // none of them stays for long
 }
 
+TEST_F(ManagementTest, ReadsACallInPieces) {
+    node.start_ready();
+    Client slow(management);
+    for (const char letter : std::string("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")) {
+        slow.send(std::string(1, letter));
+        std::this_thread::sleep_for(20ms);
+    }
+    EXPECT_EQ(slow.line().substr(0, 12), "HTTP/1.1 200");
+}
+
 TEST_F(ManagementTest, ABanOutranksTheListAndOutlastsTheProcess) {
     HttpStub other;
     node.start_ready();
