Take a relayed message whose class the new process does not know by its own terms

A request that the old process had begun to read was named by the new one's classes alone: an unknown one threw, and the client got no answer. Frames between the two have a smaller bound, and a failed accept is tried again.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -402,6 +402,18 @@
     }
 }
 
+/// By the names of this configuration; another process may have taken the message on by those of another one.
+bool Forwarder::name_class(const Message& message, MessageEvent& event) const {
+    const auto tenant = config_.names.tenants.find(message.tenant);
+    if (tenant != config_.names.tenants.end()) event.tenant = tenant->second;
+    const auto kind = config_.names.classes.find(message.message_class);
+    if (kind != config_.names.classes.end())
+        event.message_class = kind->second;
+    else
+        event.terms = message.terms;
+    return kind != config_.names.classes.end() || event.terms;
+}
+
 /// What an earlier process owed is owed still, with what it knew of each attempt.
 void Forwarder::take_up(const std::set<AttemptId>& out) {
     const Wall wall = wall_now();
@@ -411,19 +423,14 @@
             discovery_.report(message.id, *entry->notice);
             continue;
         }
-        const auto kind = config_.names.classes.find(message.message_class);
-        if (!message.terms && kind == config_.names.classes.end()) {  // of a version that kept no terms
+        MessageEvent event;
+        event.terms = message.terms;
+        if (!name_class(message, event)) {  // it has gone, and the entry is of a version that kept no terms
             end(message.id, {});
             continue;
         }
-        MessageEvent event;
         event.message = message.id;
         event.destination = message.destination;
-        if (kind != config_.names.classes.end()) event.message_class = kind->second;
-        event.terms = message.terms;
-        if (const auto tenant = config_.names.tenants.find(message.tenant);
-            tenant != config_.names.tenants.end())
-            event.tenant = tenant->second;
         event.left = message.deadline - wall;
         event.attempts = entry->attempts;
         const bool is_out = entry->attempts > 0 && out.contains({message.id, entry->attempts - 1});
@@ -495,8 +502,7 @@
     MessageEvent event;
     event.message = id;
     event.destination = message.destination;
-    event.message_class = config_.names.classes.at(message.message_class);
-    if (!message.tenant.empty()) event.tenant = config_.names.tenants.at(message.tenant);
+    name_class(message, event);
     event.left = left;
     newcomers_.emplace(id, Newcomer{std::move(message), std::move(answer)});
     observe(event);
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -63,6 +63,7 @@
     void tell_held();
     void relay(const OperatorCall& call, Management::Answer answer);
     void enqueue_here_again();
+    bool name_class(const Message& message, cometspoke::MessageEvent& event) const;
     void take_up(const std::set<AttemptId>& out);
     void operate(const OperatorCall& call, const Management::Answer& answer);
     Verdict verdict_on(const OperatorCall& call);
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -25,7 +25,7 @@
 constexpr auto kOfferWithin = 1s;    // and of one that offers: its clients wait meanwhile
 constexpr auto kRegainPause = 10ms;  // the kernel frees a dead process's lock and socket in its own order
 constexpr int kRegainTries = 200;
-constexpr std::uint32_t kMostFrame = 64 << 20;
+constexpr std::uint32_t kMostFrame = 16 << 20;
 
 }  // namespace
 
@@ -214,7 +214,13 @@
 /// One at a time, and none while there is another process already.
 void Handover::accept() {
     acceptor_.async_accept([this](auto failed, Local::socket socket) {
-        if (failed || state_ != State::Owner || link_) return;
+        if (failed == asio::error::operation_aborted || state_ != State::Owner || link_) return;
+        if (failed) {  // such as one for want of descriptors
+            regain_pause_.expires_after(kClaimAgain);
+            return regain_pause_.async_wait([this](auto cancelled) {
+                if (!cancelled && acceptor_.is_open()) accept();
+            });
+        }
         link_ = std::make_shared<HandoverLink>(
             std::move(socket), [this](const Json& note) { heard(note); }, [this] { ended(); });
         link_->start();
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -77,6 +77,35 @@
     end_former();
 }
 
+// The file has changed between the two: what is held keeps its class, and so does what the old one still
+// reads.
+TEST_F(HandoverTest, KeepsClassesThatTheNewOneDoesNotKnow) {
+    node.start_ready();
+    Client client = node.client(), half = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    const Exchange out = target.next();
+    ASSERT_EQ(enqueue(client, second, "keyed"), "+OK");
+    const std::string request = "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$16\r\n" + third +
+                                "\r\n$28\r\nc=safe,t=acme,d=30000,dest=7\r\n$1\r\nB\r\n";
+    half.send(request.substr(0, 30));
+    std::this_thread::sleep_for(50ms);
+    auto& classes = node.config()["settings"]["classes"];
+    classes[0]["name"] = "strict";
+    classes.erase(1);
+    node.write_config(node.config().dump());
+    replace();
+    half.send(request.substr(30));
+    EXPECT_EQ(half.line(), "+OK");
+    out.answer(500);  // "safe": it may go again
+    std::multiset<std::string> went;
+    for (int i = 0; i < 3; ++i) {
+        const Exchange call = target.next();
+        went.insert(id_of(call));
+        call.answer(200);
+    }
+    EXPECT_EQ(went, (std::multiset<std::string>{id, second, third}));
+}
+
 TEST_F(HandoverTest, HandsOnToldWaitsBansAndADrain) {
     HttpStub other;
     node.config()["settings"]["family_info"]["slots"] = 4;
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -337,14 +337,14 @@
     }
     Json& config() { return config_; }
 
-private:
-    std::filesystem::path config_path() const { return folder_.path() / "config.json"; }
     void write_config(const std::string& text) const {
         const auto fresh = folder_.path() / "config.new";
         std::ofstream(fresh) << text;
         std::filesystem::rename(fresh, config_path());
     }
 
+private:
+    std::filesystem::path config_path() const { return folder_.path() / "config.json"; }
     static constexpr int kInherited = 40;
 
     TemporaryFolder folder_;
