Start l near an even part, at a random phase, and rest a route after a refusal

Checked: calls and refusals per endpoint and second over the fleet. Ruled out: limits below the listed ones (the same endpoints served 50 to 120 a second later), failed connects, told waits, and a smaller start alone. At fault: limit() took the whole listed rate before the first refusal, list() left every first send free at once, lower_limit() rested nothing while other calls were out, and succeed() alone raised l again.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,12 +24,19 @@
 constexpr double kCapShare = 0.75;  // calls to one destination stay under this share of the slots
 constexpr double kSickShare = 0.5;  // and at most this while it fails or is slow; also all sick ones together
 
-// Learning l: the own part is between an even part and the whole. Steps are powers of n, the number of
-// senders: the more they are, the rarer is each one's news and the further off its right part may be.
-constexpr double kFall = -1.0 / 3.0;  // the first refusal: a third off among three senders, 3/4 among sixty
-constexpr double kRise = 1.0 / 24.0;  // a success: eight for the first refusal after it
-constexpr double kRiseRoom = 0.3;     // more with the told share of the limit that is left
-constexpr double kLeastGain = 0.5;    // half an even part is always there while others keep to theirs
+// Learning l, in even parts of the limit. All senders start alike: what they may send together must stay near
+// the limit however many they are. Steps are powers of n, the number of senders: the more they are, the rarer
+// is each one's news.
+constexpr double kMostGain = 3.0;      // three even parts at most
+constexpr double kStartSpread = 3.46;  // at the start so much more than an even part, over the root of n
+constexpr Time kStartBurst{500'000};   // of the limit that all may send at once at the start
+constexpr double kFall = -1.0 / 3.0;   // the first refusal: a third off among three senders
+constexpr double kMostFall = 0.4;      // and so much left at least
+constexpr double kRise = 1.0 / 24.0;   // a success: eight for the first refusal after it
+constexpr double kRiseRoom = 0.3;      // more with the told share of the limit that is left
+constexpr double kLeastGain = -0.63;   // a power: half an even part among three senders, 1/18 of a hundred
+constexpr Time kRegain{2'500'000};     // below an even part l doubles in such a time without a refusal
+constexpr double kCredit = 2.0;        // sends that a calm route may catch up on, among many senders
 
 constexpr double kUsualBlend = 0.05;   // the usual time to answer moves slowly, so slowness shows against it
 constexpr double kUsualClip = 3.0;     // one long call counts as at most so many usual ones
@@ -121,6 +128,7 @@
     double known = 0.0;         // limit in calls a second from all senders, listed or reported; 0: none known
     double gain = 0.0;          // own part of it, in even parts; 0: no refusal yet, the whole
     int refusals = 0;           // falls since the last success
+    Time learned_at{kLongAgo};  // the last change of the gain
 };
 
 struct Endpoint {
@@ -167,6 +175,7 @@
     visit("known", route.known);
     visit("gain", route.gain);
     visit("refusals", route.refusals);
+    visit("learned_at", route.learned_at);
 }
 void each_figure(auto& endpoint, auto& visit) requires requires { endpoint.health; }
 {
@@ -272,7 +281,7 @@
                 destinations_.at(endpoint.destination).endpoints.erase(id);
                 gone_.insert(id);
             }
-        for (const ListEntry& entry : event.entries) list(entry);
+        for (const ListEntry& entry : event.entries) list(entry, now);
     }
 
     // Out by hand: nothing new goes there. It is restarted meanwhile, so all senders take it as returning
@@ -452,7 +461,7 @@
         unconnected_.resize(settings_.kinds.size(), kLongAgo);
     }
 
-    void list(const ListEntry& entry) {
+    void list(const ListEntry& entry, Time now) {
         Endpoint& endpoint = endpoints_[entry.endpoint];
         if (entry.condition == Condition::Gone)
             gone_.insert(entry.endpoint);
@@ -473,7 +482,11 @@
         if (!settings_.listed_rates) return;
         if (entry.rate > 0) destination.weight = entry.rate;
         Route& route = apart(endpoint) ? endpoint.own : destination.shared;
-        if (route.known == 0.0) route.known = entry.rate;
+        if (route.known != 0.0 || entry.rate <= 0) return;
+        route.known = entry.rate;
+        // as if all had long been sending: one send each at once would be n of them
+        const double phase = std::uniform_real_distribution<double>(0.0, others())(random_);
+        route.limit_tag = now - kStartBurst + from_seconds(phase / limit(route, destination));
     }
 
     // Targets come and go for as long as a process lives: what nothing names any more is forgotten. An
@@ -579,7 +592,10 @@
 
     void step_tags(Destination& destination, Endpoint& endpoint, Time now) {
         Route& route = route_of(endpoint);
-        route.limit_tag = std::max(route.limit_tag + gap_of(limit(route, destination)), now);
+        const Time gap = limit_gap(route, destination);
+        const bool calm = endpoint.health == Health::Well && route.refusals == 0;
+        route.limit_tag = std::max(
+            route.limit_tag + gap, calm ? now - from_seconds(kCredit * others() * seconds(gap)) : now);
         if (endpoint.health != Health::Well) spend_budget(endpoint, now);
         const double w = destination.weight;
         destination.share_tag = std::max(destination.share_tag + gap_of(w), now - from_seconds(kSigma / w));
@@ -790,13 +806,24 @@
     // l: an even part of the limit times what was learned. Without a known limit it is unbounded (0) until
     // the first refusal, and what the destination is seen to take stands for it.
     double limit(const Route& route, const Destination& destination) const {
-        if (route.gain == 0.0) return route.known;
+        if (route.gain == 0.0) return route.known / senders() * start_gain();
         return capacity(route, destination) / senders() * route.gain;
     }
+    double start_gain() const { return std::min(most_gain(), 1.0 + kStartSpread / std::sqrt(senders())); }
+    double most_gain() const { return std::min(senders(), kMostGain); }
+    // 1/l, or the time in which a lowered l that doubles every kRegain allows one send, up to an even part.
+    Time limit_gap(const Route& route, const Destination& destination) const {
+        const double l = limit(route, destination);
+        if (l <= 0 || route.gain == 0.0 || route.gain >= 1.0) return gap_of(l);
+        const double doubling = seconds(kRegain);
+        const double rising = doubling * std::log2(1.0 + std::log(2.0) / (doubling * l));
+        return std::max(gap_of(l / route.gain), from_seconds(rising));
+    }
     double capacity(const Route& route, const Destination& destination) const {
         if (route.known > 0) return route.known;
         return std::max(kLeastCapacity, destination.served_rate * senders());
     }
+    double others() const { return 1.0 - 1.0 / senders(); }  // share of the senders that are not this one
     double senders() const { return static_cast<double>(settings_.n_instances); }
     double usual(const Destination& destination) const {
         const double known = destination.usual > 0 ? destination.usual : overall_usual_;
@@ -859,19 +886,30 @@
     }
 
     void lower_limit(Route& route, const Endpoint& endpoint, Time now) {
-        const double before = route.gain > 0 ? route.gain : senders();
-        route.gain = std::max(kLeastGain, before * std::pow(senders(), kFall * ++route.refusals));
-        if (destinations_.at(endpoint.destination).in_flight > 1) return;
+        const Destination& destination = destinations_.at(endpoint.destination);
+        regain(route, now);
+        const double before = route.gain > 0 ? route.gain : start_gain();
+        const double fall = std::max(kMostFall, std::pow(senders(), kFall * ++route.refusals));
+        route.gain = std::max(std::pow(senders(), kLeastGain), before * fall);
+        if ((apart(endpoint) ? endpoint.in_flight : destination.in_flight) > 1) return;
         const double spread = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
-        const double l = limit(route, destinations_.at(endpoint.destination));
-        route.limit_tag = std::max(route.limit_tag, now + from_seconds(spread / l));
+        const double gap = seconds(limit_gap(route, destination));
+        const Time from = senders() > 1 ? std::max(now, route.wait_until) : now;  // all are told the same end
+        route.limit_tag = std::max(route.limit_tag, from + from_seconds(spread * gap));
+    }
+    void regain(Route& route, Time now) {
+        const Time since = now - std::exchange(route.learned_at, now);
+        if (route.gain > 0 && route.gain < 1.0)
+            route.gain =
+                std::min(1.0, route.gain * std::exp2(std::min(64.0, seconds(since) / seconds(kRegain))));
     }
 
     void succeed(EndpointId id, double left, Time rtt, Time now) {
         Endpoint& endpoint = endpoints_.at(id);
         Destination& destination = destinations_.at(endpoint.destination);
         Route& route = route_of(endpoint);
-        route.gain = std::min(senders(), route.gain * std::pow(senders(), kRise + left * kRiseRoom));
+        regain(route, now);
+        route.gain = std::min(most_gain(), route.gain * std::pow(senders(), kRise + left * kRiseRoom));
         route.refusals = 0;
         if (rtt > Time(0)) {
             blend_usual(destination.usual, seconds(rtt));
