Ask discovery for changes of the known list, spread over the fleet and backing off

Ruled out: endpoints pushed over (those that failed are the ones that were replaced), unreadable lists (none was logged).

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,9 +1,11 @@
 #include "discovery.hpp"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cmath>
 #include <iostream>
 #include <utility>
 
@@ -20,9 +22,12 @@
 
 namespace {
 
-constexpr auto kHold = 10000ms;         // of a watch that has nothing to tell
+constexpr auto kHold = 10000ms;         // of a watch that has nothing to tell,
+constexpr auto kFirstHold = 2000ms;     // and of one that nothing has come from yet: it may be silent
 constexpr auto kAnswerWithin = 1500ms;  // beyond what it may hold: after that it counts as down
-constexpr auto kRetry = 100ms;
+constexpr auto kRetry = 100ms;          // after a failure, or this for each forwarder of the fleet,
+constexpr auto kRetryEach = 50ms;       // if that is longer: discovery answers all of them in turn
+constexpr int kRetryDoublings = 2;      // twice as long after each further failure, so often
 constexpr std::uint64_t kMostBody = 4 * 1024 * 1024;
 constexpr std::size_t kMostTargets = 20'000;
 constexpr std::size_t kMostNotices = 256;  // in one request
@@ -139,14 +144,18 @@
       address_(config.discovery),
       told_(std::move(told)),
       confirmed_(std::move(confirmed)),
+      random_(config.seed),
+      turn_of_all_(kRetryEach * config.settings.n_instances),
       watch_pause_(io),
       report_pause_(io) {}
 Discovery::~Discovery() { leave(); }
 
-void Discovery::start() {
+void Discovery::start(std::optional<std::int64_t> held) {
+    revision_ = held;
     watch_ = std::make_shared<AgentConnection>(io_, address_);
     reports_ = std::make_shared<AgentConnection>(io_, address_);
-    watch();
+    std::uniform_int_distribution<std::int64_t> spread(0, held ? turn_of_all_.count() : 0);
+    watch_after(std::chrono::milliseconds(spread(random_)));
     post();
 }
 
@@ -156,7 +165,6 @@
     if (address == address_) return;
     leave();
     address_ = address;
-    revision_.reset();
     posting_ = false;
     start();
 }
@@ -167,7 +175,6 @@
 }
 void Discovery::resume() {
     suspended_ = false;
-    revision_.reset();
     posting_ = false;
     start();
 }
@@ -180,22 +187,38 @@
     if (reports_) reports_->give_up();
 }
 
-/// Renewed as soon as it is answered: a watch that rests for long is a new one.
+/// Changes alone are asked for wherever a whole list is known: whole ones cost discovery much, and at a start
+/// of many it has to answer them in turn. Renewed as soon as it is answered: a watch that rests for long is a
+/// new one.
 void Discovery::watch() {
     std::string path = "/v1/servers";
-    if (revision_)
-        path += "?from=" + std::to_string(*revision_) + "&hold_ms=" + std::to_string(kHold.count());
-    const auto within = revision_ ? kHold + kAnswerWithin : kAnswerWithin;
+    const auto hold = heard_ ? kHold : kFirstHold;
+    if (revision_) path += "?from=" + std::to_string(*revision_) + "&hold_ms=" + std::to_string(hold.count());
+    const auto within = revision_ ? hold + kAnswerWithin : kAnswerWithin;
     watch_->ask(http::verb::get, path, "", within, [this](unsigned status, const std::string& body) {
-        if (status == 200 && watched(body)) return watch();
+        heard_ = status == 200 && watched(body);
+        if (heard_) {
+            watch_failures_ = 0;
+            return watch();
+        }
         if (status != 200) std::cerr << "discovery: no list: " << status << ' ' << body.substr(0, 80) << '\n';
-        watch_pause_.expires_after(kRetry);
-        watch_pause_.async_wait([this, stay = stay_](auto cancelled) {
-            if (!cancelled && stay == stay_) watch();
-        });
+        watch_after(pause_after(watch_failures_, std::max<std::chrono::milliseconds>(kRetry, turn_of_all_)));
     });
 }
 
+void Discovery::watch_after(std::chrono::milliseconds pause) {
+    watch_pause_.expires_after(pause);
+    watch_pause_.async_wait([this, stay = stay_](auto cancelled) {
+        if (!cancelled && stay == stay_) watch();
+    });
+}
+
+std::chrono::milliseconds Discovery::pause_after(int& failures, std::chrono::milliseconds first) {
+    const double longest = static_cast<double>(first.count() << std::min(failures++, kRetryDoublings));
+    return std::chrono::milliseconds(
+        std::llround(std::uniform_real_distribution<double>(0.5, 1.0)(random_) * longest));
+}
+
 bool Discovery::watched(const std::string& body) try {
     const TargetList list = list_of(Json::parse(body));
     // Changes build on the list that they were asked for; without one they say nothing whole.
@@ -230,11 +253,12 @@
         [this, sent = std::move(sent)](unsigned status, const std::string& text) {
             posting_ = false;
             if (status == 204) {
+                report_failures_ = 0;
                 for (const MessageId id : sent) notices_.erase(id), confirmed_(id);
                 return post();
             }
             std::cerr << "discovery: notices not taken: " << status << ' ' << text.substr(0, 80) << '\n';
-            report_pause_.expires_after(kRetry);
+            report_pause_.expires_after(pause_after(report_failures_, kRetry));
             report_pause_.async_wait([this, stay = stay_](auto cancelled) {
                 if (!cancelled && stay == stay_) post();
             });
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -40,7 +41,9 @@
     Discovery(asio::io_context& io, const Config& config, Told told, Confirmed confirmed);
     ~Discovery();
 
-    void start();
+    /// `held`: the version of the whole list that is known already, if one is; changes are asked for from
+    /// there.
+    void start(std::optional<std::int64_t> held = std::nullopt);
     /// Another process asks and tells from now on; `resume` undoes it, with every notice that is not
     /// confirmed.
     void suspend();
@@ -56,18 +59,24 @@
 private:
     void leave();
     void watch();
+    void watch_after(std::chrono::milliseconds pause);
     bool watched(const std::string& body);
     void post();
+    /// After so many failures in a row: many forwarders fail together, and must not come again together.
+    std::chrono::milliseconds pause_after(int& failures, std::chrono::milliseconds first);
 
     asio::io_context& io_;
     Tcp::endpoint address_;
     Told told_;
     Confirmed confirmed_;
-    std::optional<std::int64_t> revision_;  // none before the first whole list of this agent
+    std::optional<std::int64_t> revision_;  // none where no whole list of this agent is known
+    std::mt19937_64 random_;
+    std::chrono::milliseconds turn_of_all_;  // in which each forwarder of the fleet may call once
     std::shared_ptr<AgentConnection> watch_, reports_;
     asio::steady_timer watch_pause_, report_pause_;
+    int watch_failures_ = 0, report_failures_ = 0;
     std::uint64_t stay_ = 0;  // with this agent: pauses of an earlier one end in nothing
-    bool posting_ = false, suspended_ = false;
+    bool posting_ = false, suspended_ = false, heard_ = false;
     std::map<MessageId, Notice> notices_;
 };
 
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -107,7 +107,7 @@
       discovery_(
           io, config_,
           [this](const TargetList& told) {
-              whole_list_ = whole_list_ || told.complete;
+              whole_list_ = true;  // changes build on one
               list(told, told.complete ? ListKind::Full : ListKind::Changes);
           },
           [this](MessageId id) {
@@ -156,8 +156,13 @@
     clients_.open();  // first: where another program has the address, its journal must not be touched
     journal_.emplace(config_.state, config_.disk_bytes);
     role_ = Role::Owner;
+    std::optional<std::int64_t> held;
     try {
-        list(list_of(config_.known), ListKind::Cached);
+        const TargetList known = list_of(config_.known);
+        list(known, ListKind::Cached);
+        // an entry that could not be read is not known: then the whole list is asked for
+        if (known.complete && known.targets.size() == config_.known.at("members").size())
+            held = known.revision;
     } catch (const std::exception& bad) {
         std::cerr << "config: no known list: " << bad.what() << '\n';
     }
@@ -168,7 +173,7 @@
         take_up({});
     }
     peers_.start();
-    discovery_.start();
+    discovery_.start(held);
     clients_.listen();
     if (offer && offer->value("drained", false)) drain();
     if (std::exchange(reload_due_, false)) guarded([this] { reload(); });
