Judge a backlog by successes over 5 s, not by the gaps between answers

Checked: a trace by destination; slots (one of four busy) and told waits ruled out. At fault: succeed() blended 1/gap, which answers that come together drive to 50 a second, and drain_rate() took 0.5 a second at least, several times what one of a hundred senders gets through; backlog_of() then fell below the aim and arrival order held.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -38,19 +38,18 @@
 constexpr Time kRegain{2'500'000};     // below an even part l doubles in such a time without a refusal
 constexpr double kCredit = 2.0;        // sends that a calm route may catch up on, among many senders
 
-constexpr double kUsualBlend = 0.05;   // the usual time to answer moves slowly, so slowness shows against it
-constexpr double kUsualClip = 3.0;     // one long call counts as at most so many usual ones
-constexpr double kSilentTimes = 5.0;   // summed waiting without a success, in usual times: exp(-5) by chance
-constexpr Time kLeastUsual{50'000};    // floor of the usual time, against a sweep's coarseness
-constexpr Time kFirstUsual{500'000};   // before any answer is known
-constexpr double kRateBlend = 0.1;     // the own rate of successes: about the last ten
-constexpr double kRateClip = 50.0;     // answers that come together are no rate of thousands a second
-constexpr double kFailBlend = 0.3;     // two failures in a row from clean make 0.51
-constexpr double kNewsAge_s = 4.0;     // outcomes older than this tell little of now: one failure trips
-constexpr Time kLongWait{2'500'000};   // no limit makes wait so long: shut, and it opens then
-constexpr double kRoomLeft = 0.9;      // refused with so much of the limit left: shut too
-constexpr Time kSlowConnect{500'000};  // a connect that fails later found nobody: not an allowance used up
-constexpr double kFailTrip = 0.5;      // most calls failing: an outage
+constexpr double kUsualBlend = 0.05;  // the usual time to answer moves slowly, so slowness shows against it
+constexpr double kUsualClip = 3.0;    // one long call counts as at most so many usual ones
+constexpr double kSilentTimes = 5.0;  // summed waiting without a success, in usual times: exp(-5) by chance
+constexpr Time kLeastUsual{50'000};   // floor of the usual time, against a sweep's coarseness
+constexpr Time kFirstUsual{500'000};  // before any answer is known
+constexpr double kServedMemory_s = 5.0;  // the own rate of successes: those of about so long
+constexpr double kFailBlend = 0.3;       // two failures in a row from clean make 0.51
+constexpr double kNewsAge_s = 4.0;       // outcomes older than this tell little of now: one failure trips
+constexpr Time kLongWait{2'500'000};     // no limit makes wait so long: shut, and it opens then
+constexpr double kRoomLeft = 0.9;        // refused with so much of the limit left: shut too
+constexpr Time kSlowConnect{500'000};    // a connect that fails later found nobody: not an allowance used up
+constexpr double kFailTrip = 0.5;        // most calls failing: an outage
 constexpr double kSpoiltBlend =
     0.1;                             // a spoilt answer: seven in a row trip, one in ten among good ones never
 constexpr double kFragileBar = 0.2;  // above this share of failures fragile messages wait
@@ -79,7 +78,7 @@
 constexpr Time kRecent{60'000'000};     // after a failed connect: allowances of connections seldom change
 constexpr int kReuse = 3;               // an idle connection is kept if reused within this part of its time
 constexpr double kRoomKept = 0.1;       // share of most_held kept free for worth
-constexpr double kLeastDrain = 0.5;     // messages a second that any destination is expected to take
+constexpr double kLeastDrain = 1.5;     // messages a second that any destination takes from all senders
 constexpr Time kLongStall{60'000'000};  // a stall longer than any deadline is as good as this
 constexpr Time kQuotaBurst{1'000'000};  // a tenant's quota may come this far at once
 constexpr Time kTidyGap{1'000'000};     // what has gone is looked for at most so often
@@ -164,8 +163,8 @@
     double usual = 0.0;  // seconds to answer, blended slowly
     double asked = 0;    // own messages a second, as of the last one
     Time asked_at{kLongAgo};
-    double served_rate = 0;  // own successes a second, blended
-    Time last_served{kLongAgo};
+    double served_rate = 0;  // own successes a second, as of the last one
+    Time first_served{kLongAgo}, last_served{kLongAgo};
 };
 
 void each_figure(auto& route, auto& visit) requires requires { route.gain; }
@@ -203,6 +202,7 @@
     visit("asked", destination.asked);
     visit("asked_at", destination.asked_at);
     visit("served_rate", destination.served_rate);
+    visit("first_served", destination.first_served);
     visit("last_served", destination.last_served);
 }
 
@@ -629,7 +629,7 @@
     // The first message in arrival order that may be sent, with an endpoint for it. While the backlog is
     // longer than the aim of a held message, the one goes that loses most worth by waiting the backlog out.
     std::optional<Pick> head(DestinationId id, const Destination& destination, Time now, bool limited) {
-        const Time backlog = backlog_of(destination);
+        const Time backlog = backlog_of(destination, now);
         std::optional<Pick> best;
         double most = 0.0;
         for (const auto& [arrival, message_id] : destination.held) {
@@ -646,13 +646,13 @@
         return best;
     }
     // How long the held messages take to go out, where that is longer than the aim of one of them; else 0.
-    Time backlog_of(const Destination& destination) const {
+    Time backlog_of(const Destination& destination, Time now) const {
         if (destination.served_rate <= 0) return Time(0);  // nothing is known yet: the ordinary path
         Time shortest = kNever;
         for (const auto& [arrival, id] : destination.held)
             shortest = std::min(shortest, messages_.at(id).terms->aim);
         const double held = static_cast<double>(destination.held.size()) - destination.in_flight;
-        const Time backlog = from_seconds(std::max(0.0, held) / drain_rate(destination));
+        const Time backlog = from_seconds(std::max(0.0, held) / drain_rate(destination, now));
         return backlog > shortest ? backlog : Time(0);
     }
 
@@ -915,11 +915,8 @@
             blend_usual(destination.usual, seconds(rtt));
             blend_usual(overall_usual_, seconds(rtt));
         }
-        if (destination.last_served != kLongAgo && now > destination.last_served) {
-            const double rate = std::min(kRateClip, 1.0 / seconds(now - destination.last_served));
-            const double before = destination.served_rate > 0 ? destination.served_rate : rate;
-            destination.served_rate = before + kRateBlend * (rate - before);
-        }
+        if (destination.served_rate <= 0) destination.first_served = now;
+        destination.served_rate = faded_rate(destination, now) + 1.0 / kServedMemory_s;
         destination.last_served = now;
         endpoint.failing *= 1.0 - news(endpoint, now);
         endpoint.refused_row = 0;
@@ -1097,7 +1094,7 @@
     // is still time to deliver.
     Time come_back_in(const Message& message, Time now) const {
         const Destination& destination = destinations_.at(message.destination);
-        const double backlog = static_cast<double>(destination.held.size()) / drain_rate(destination);
+        const double backlog = static_cast<double>(destination.held.size()) / drain_rate(destination, now);
         const Time over = std::max(stalled(destination, now), from_seconds(backlog));
         return std::min(over, (message.deadline - now) / 2);
     }
@@ -1134,7 +1131,7 @@
             for (const auto& [destination_id, destination] : active_) {
                 Time turn = now + stalled(*destination, now);
                 for (const auto& [arrival, id] : destination->held) {
-                    turn += gap_of(drain_rate(*destination));
+                    turn += gap_of(drain_rate(*destination, now));
                     const Message& message = messages_.at(id);
                     if (message.out > 0 || message.doubt_since) continue;
                     const double worth = worth_of(message, turn);
@@ -1150,8 +1147,15 @@
         if (!ailing(destination)) return Time(0);
         return std::min(kLongStall, now - destination.last_served);
     }
-    double drain_rate(const Destination& destination) const {
-        return std::max(kLeastDrain, destination.served_rate);
+    double drain_rate(const Destination& destination, Time now) const {
+        // a memory that is not full yet knows of less than its whole span
+        const double known =
+            1.0 - std::exp(-std::max(1.0, seconds(now - destination.first_served)) / kServedMemory_s);
+        return std::max(kLeastDrain / senders(), faded_rate(destination, now) / known);
+    }
+    double faded_rate(const Destination& destination, Time now) const {
+        if (destination.served_rate <= 0) return 0.0;
+        return destination.served_rate * std::exp(-seconds(now - destination.last_served) / kServedMemory_s);
     }
     double worth_of(const Message& message, Time served) const {
         const ClassSettings& kind = *message.terms;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -277,6 +277,34 @@
     EXPECT_EQ(rig.pass(ms(40)).size(), 1u);
 }
 
+// Two answers that come together are no rate of fifty a second: where a sender sees a call now and then, what
+// it holds takes long, and the message goes first that loses most by waiting.
+TEST(Tags, ABacklogIsJudgedByWhatIsServedOverSeconds) {
+    Settings settings = make_settings();
+    settings.slots = 1;
+    settings.n_instances = 100;
+    settings.classes[kRetryable].late_worth = 0.5;
+    settings.loses_worth = LateWorth::Halving;
+    Rig rig(settings);
+    rig.list(0, 1);
+    for (MessageId id = 1; id <= 2; ++id) {
+        rig.arrive(id, 1);
+        const auto out = rig.sends();
+        ASSERT_EQ(out.size(), 1u);
+        rig.now += ms(20);
+        rig.outcome(out[0], Outcome::Served, 0, Time(0), ms(20));
+    }
+    rig.list(1, 2);
+    rig.arrive(3, 2);
+    const auto busy = rig.sends();  // the only slot
+    ASSERT_EQ(busy.size(), 1u);
+    for (MessageId id = 4; id <= 9; ++id) rig.arrive(id, 1);
+    rig.now += ms(4500);
+    rig.arrive(10, 1);
+    rig.outcome(busy[0], Outcome::Served, 0, Time(0), ms(4500));
+    EXPECT_EQ(rig.sent(), Ids{10});
+}
+
 // Weak spot: repeats of an erroring destination must not take the turns of the others.
 TEST(Tags, RepeatsLeaveTheTurnsToOthers) {
     Settings settings = make_settings();
