Start l at an even part and bring it back more slowly after refusals in a row

Checked: calls and refusals per endpoint and 250 ms: refused calls count in the last second's calls, so a fleet above the limit gets nothing at all. At fault: start_gain(), regain() with one pace whatever was refused, and the rise of n^(1/24) for a success.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -27,16 +27,17 @@
 // Learning l, in even parts of the limit. All senders start alike: what they may send together must stay near
 // the limit however many they are. Steps are powers of n, the number of senders: the more they are, the rarer
 // is each one's news.
-constexpr double kMostGain = 3.0;      // three even parts at most
-constexpr double kStartSpread = 3.46;  // at the start so much more than an even part, over the root of n
-constexpr Time kStartBurst{500'000};   // of the limit that all may send at once at the start
-constexpr double kFall = -1.0 / 3.0;   // the first refusal: a third off among three senders
-constexpr double kMostFall = 0.4;      // and so much left at least
-constexpr double kRise = 1.0 / 24.0;   // a success: eight for the first refusal after it
-constexpr double kRiseRoom = 0.3;      // more with the told share of the limit that is left
-constexpr double kLeastGain = -0.63;   // a power: half an even part among three senders, 1/18 of a hundred
-constexpr Time kRegain{2'500'000};     // below an even part l doubles in such a time without a refusal
-constexpr double kCredit = 2.0;        // sends that a calm route may catch up on, among many senders
+constexpr double kMostGain = 3.0;     // three even parts at most
+constexpr double kStartMore = 6.0;    // at the start so much more than an even part, over n
+constexpr Time kStartBurst{500'000};  // of the limit that all may send at once at the start
+constexpr double kFall = -1.0 / 3.0;  // the first refusal: a third off among three senders
+constexpr double kMostFall = 0.4;     // and so much left at least
+constexpr double kRise = 1.047;       // a success
+constexpr double kRiseRoom = 0.3;     // more with the told share of the limit that is left
+constexpr double kLeastGain = -0.63;  // a power: half an even part among three senders, 1/18 of a hundred
+constexpr Time kRegain{4'500'000};    // below an even part l doubles in such a time without a refusal
+constexpr Time kForget{8'000'000};    // and above what was refused in such a one, as far as an even part
+constexpr double kBelow = 0.85;
 
 constexpr double kUsualBlend = 0.05;  // the usual time to answer moves slowly, so slowness shows against it
 constexpr double kUsualClip = 3.0;    // one long call counts as at most so many usual ones
@@ -127,6 +128,7 @@
     double known = 0.0;         // limit in calls a second from all senders, listed or reported; 0: none known
     double gain = 0.0;          // own part of it, in even parts; 0: no refusal yet, the whole
     int refusals = 0;           // falls since the last success
+    double ceiling = 1.0;       // the gain returns fast up to here, just below where it was refused
     Time learned_at{kLongAgo};  // the last change of the gain
 };
 
@@ -174,6 +176,7 @@
     visit("known", route.known);
     visit("gain", route.gain);
     visit("refusals", route.refusals);
+    visit("ceiling", route.ceiling);
     visit("learned_at", route.learned_at);
 }
 void each_figure(auto& endpoint, auto& visit) requires requires { endpoint.health; }
@@ -592,10 +595,7 @@
 
     void step_tags(Destination& destination, Endpoint& endpoint, Time now) {
         Route& route = route_of(endpoint);
-        const Time gap = limit_gap(route, destination);
-        const bool calm = endpoint.health == Health::Well && route.refusals == 0;
-        route.limit_tag = std::max(
-            route.limit_tag + gap, calm ? now - from_seconds(kCredit * others() * seconds(gap)) : now);
+        route.limit_tag = std::max(route.limit_tag + limit_gap(route, destination), now);
         if (endpoint.health != Health::Well) spend_budget(endpoint, now);
         const double w = destination.weight;
         destination.share_tag = std::max(destination.share_tag + gap_of(w), now - from_seconds(kSigma / w));
@@ -809,15 +809,17 @@
         if (route.gain == 0.0) return route.known / senders() * start_gain();
         return capacity(route, destination) / senders() * route.gain;
     }
-    double start_gain() const { return std::min(most_gain(), 1.0 + kStartSpread / std::sqrt(senders())); }
+    double start_gain() const { return std::min(most_gain(), 1.0 + kStartMore / senders()); }
     double most_gain() const { return std::min(senders(), kMostGain); }
-    // 1/l, or the time in which a lowered l that doubles every kRegain allows one send, up to an even part.
+    double regain_time(const Route& route) const { return seconds(kRegain) * std::max(1, route.refusals); }
+    // 1/l, or the time in which a lowered l that doubles every kRegain allows one send, up to what it returns
+    // to.
     Time limit_gap(const Route& route, const Destination& destination) const {
         const double l = limit(route, destination);
-        if (l <= 0 || route.gain == 0.0 || route.gain >= 1.0) return gap_of(l);
-        const double doubling = seconds(kRegain);
+        if (l <= 0 || route.gain == 0.0 || route.gain >= route.ceiling) return gap_of(l);
+        const double doubling = regain_time(route);
         const double rising = doubling * std::log2(1.0 + std::log(2.0) / (doubling * l));
-        return std::max(gap_of(l / route.gain), from_seconds(rising));
+        return std::max(gap_of(l / route.gain * route.ceiling), from_seconds(rising));
     }
     double capacity(const Route& route, const Destination& destination) const {
         if (route.known > 0) return route.known;
@@ -890,6 +892,7 @@
         regain(route, now);
         const double before = route.gain > 0 ? route.gain : start_gain();
         const double fall = std::max(kMostFall, std::pow(senders(), kFall * ++route.refusals));
+        route.ceiling = kBelow * before;
         route.gain = std::max(std::pow(senders(), kLeastGain), before * fall);
         if ((apart(endpoint) ? endpoint.in_flight : destination.in_flight) > 1) return;
         const double spread = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
@@ -898,10 +901,12 @@
         route.limit_tag = std::max(route.limit_tag, from + from_seconds(spread * gap));
     }
     void regain(Route& route, Time now) {
-        const Time since = now - std::exchange(route.learned_at, now);
-        if (route.gain > 0 && route.gain < 1.0)
-            route.gain =
-                std::min(1.0, route.gain * std::exp2(std::min(64.0, seconds(since) / seconds(kRegain))));
+        const double since = std::min(100.0, seconds(now - std::exchange(route.learned_at, now)));
+        if (route.gain == 0.0) return;
+        if (route.gain < route.ceiling)
+            route.gain = std::min(route.ceiling, route.gain * std::exp2(since / regain_time(route)));
+        else if (route.gain < 1.0)
+            route.gain = std::min(1.0, route.gain * std::exp2(since / seconds(kForget)));
     }
 
     void succeed(EndpointId id, double left, Time rtt, Time now) {
@@ -909,7 +914,7 @@
         Destination& destination = destinations_.at(endpoint.destination);
         Route& route = route_of(endpoint);
         regain(route, now);
-        route.gain = std::min(most_gain(), route.gain * std::pow(senders(), kRise + left * kRiseRoom));
+        route.gain = std::min(most_gain(), route.gain * kRise * std::pow(senders(), left * kRiseRoom));
         route.refusals = 0;
         if (rtt > Time(0)) {
             blend_usual(destination.usual, seconds(rtt));
--- a/tests/size_test.cpp
+++ b/tests/size_test.cpp
@@ -104,19 +104,19 @@
 struct Crowd {
     std::size_t calls = 0, served = 0;
 };
-Crowd crowd_at(std::size_t senders, double limit, double load, Time span) {
+Crowd crowd_at(std::size_t senders, double listed, double limit, double rate, Time span) {
     std::vector<Rig> rigs;
     for (std::size_t i = 0; i < senders; ++i) {
         Settings settings = fleet(senders);
         settings.listed_rates = true;
         rigs.emplace_back(settings, i + 1);
-        rigs.back().list(0, 1, 1, limit);
+        rigs.back().list(0, 1, 1, listed);
     }
     Crowd crowd;
     std::vector<Time> calls;  // of the last second
     std::map<MessageId, std::uint32_t> tries;
     MessageId next = 0;
-    const Time start = rigs[0].now, gap(static_cast<Time::rep>(1e6 / (limit * load)));
+    const Time start = rigs[0].now, gap(static_cast<Time::rep>(1e6 / rate));
     for (Time now = start; now < start + span; now += ms(10))
         for (std::size_t i = 0; i < senders; ++i) {
             Rig& rig = rigs[i];
@@ -135,10 +135,16 @@
     return crowd;
 }
 
+// Where the limit is far below the listed one, a hundred that see a call every few seconds still find it.
+TEST(Fleet, ManyFindALimitBelowTheListedOne) {
+    const Crowd crowd = crowd_at(100, 60.0, 20.0, 60.0, ms(20000));
+    EXPECT_GE(crowd.served, 135u);  // a third of what the limit allows
+}
+
 // What each may send at the start, in idle credit and after a refusal, counts as often as there are senders.
 TEST(Fleet, ManyStayNearALimitThatTheyShare) {
     for (const std::size_t senders : {3u, 100u}) {
-        const Crowd crowd = crowd_at(senders, 30.0, 1.2, ms(10000));
+        const Crowd crowd = crowd_at(senders, 30.0, 30.0, 36.0, ms(10000));
         EXPECT_GE(crowd.served, 150u) << senders;  // half of what the limit allows
         EXPECT_LE(crowd.calls, 2 * crowd.served) << senders;
     }
