Keep the first watch and pauses inside the time in which changes count as told

Checked and ruled out: a told drain that the module did not heed (no send followed one), lists turned away (no 503 in the logs). At fault: discovery.cpp, kRetryEach x n_instances in Discovery's constructor, start() and pause_after(): 13.7 s to the first watch at 273 forwarders, pauses of up to 55 s. A change counts as told 6 s after a start, 4 s after SIGHUP, at the latest; drains bind 2 s on. The tests were seen to fail with the bounds taken out.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -5,7 +5,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <cmath>
 #include <iostream>
 #include <utility>
 
@@ -25,10 +24,18 @@
 constexpr auto kHold = 10000ms;         // of a watch that has nothing to tell,
 constexpr auto kFirstHold = 2000ms;     // and of one that nothing has come from yet: it may be silent
 constexpr auto kAnswerWithin = 1500ms;  // beyond what it may hold: after that it counts as down
-constexpr auto kRetry = 100ms;          // after a failure, or this for each forwarder of the fleet,
-constexpr auto kRetryEach = 50ms;       // if that is longer: discovery answers all of them in turn
+constexpr auto kRetry = 100ms;          // after a failure,
 constexpr int kRetryDoublings = 2;      // twice as long after each further failure, so often
+constexpr auto kTurn = 50ms;            // of each forwarder of the fleet: discovery answers them in turn
+
+// How far those turns may reach. A change counts as told 6 s after a start and 4 s after a move at the
+// latest, and the moment the agent has it in between; calls to what drains must have ended 2 s later. What is
+// left holds one call that gets no answer, a pause, and one that does.
+constexpr auto kLatestFirst = 2000ms;
+constexpr auto kLatestMoved = 1000ms;
+constexpr auto kLongestPause = 1000ms;
 constexpr std::uint64_t kMostBody = 4 * 1024 * 1024;
+constexpr std::size_t kMostForwarders = 100'000;
 constexpr std::size_t kMostTargets = 20'000;
 constexpr std::size_t kMostNotices = 256;  // in one request
 
@@ -139,23 +146,43 @@
     Answered answered_;
 };
 
+Turns::Turns(std::size_t forwarders, std::uint64_t seed)
+    : random_(seed), of_all_(kTurn * static_cast<std::int64_t>(std::min(forwarders, kMostForwarders))) {}
+
+std::chrono::milliseconds Turns::first() { return any_of(std::min(of_all_, kLatestFirst)); }
+std::chrono::milliseconds Turns::moved() { return any_of(std::min(of_all_, kLatestMoved)); }
+std::chrono::milliseconds Turns::after_failure(int failures) {
+    return half_or_more_of(std::min(std::max(kRetry, of_all_) * doubled(failures), kLongestPause));
+}
+std::chrono::milliseconds Turns::after_refused_notices(int failures) {
+    return half_or_more_of(kRetry * doubled(failures));
+}
+
+int Turns::doubled(int failures) { return 1 << std::clamp(failures - 1, 0, kRetryDoublings); }
+std::chrono::milliseconds Turns::any_of(std::chrono::milliseconds span) {
+    return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, span.count())(random_));
+}
+std::chrono::milliseconds Turns::half_or_more_of(std::chrono::milliseconds span) {
+    return span / 2 + any_of(span / 2);
+}
+
 Discovery::Discovery(asio::io_context& io, const Config& config, Told told, Confirmed confirmed)
     : io_(io),
       address_(config.discovery),
       told_(std::move(told)),
       confirmed_(std::move(confirmed)),
-      random_(config.seed),
-      turn_of_all_(kRetryEach * config.settings.n_instances),
+      turns_(config.settings.n_instances, config.seed),
       watch_pause_(io),
       report_pause_(io) {}
 Discovery::~Discovery() { leave(); }
 
-void Discovery::start(std::optional<std::int64_t> held) {
+void Discovery::start(std::optional<std::int64_t> held) { begin(held, held ? turns_.first() : 0ms); }
+
+void Discovery::begin(std::optional<std::int64_t> held, std::chrono::milliseconds pause) {
     revision_ = held;
     watch_ = std::make_shared<AgentConnection>(io_, address_);
     reports_ = std::make_shared<AgentConnection>(io_, address_);
-    std::uniform_int_distribution<std::int64_t> spread(0, held ? turn_of_all_.count() : 0);
-    watch_after(std::chrono::milliseconds(spread(random_)));
+    watch_after(pause);
     post();
 }
 
@@ -166,7 +193,7 @@
     leave();
     address_ = address;
     posting_ = false;
-    start();
+    begin(std::nullopt, turns_.moved());  // all forwarders may be told to move at once
 }
 
 void Discovery::suspend() {
@@ -202,7 +229,7 @@
             return watch();
         }
         if (status != 200) std::cerr << "discovery: no list: " << status << ' ' << body.substr(0, 80) << '\n';
-        watch_after(pause_after(watch_failures_, std::max<std::chrono::milliseconds>(kRetry, turn_of_all_)));
+        watch_after(turns_.after_failure(++watch_failures_));
     });
 }
 
@@ -213,12 +240,6 @@
     });
 }
 
-std::chrono::milliseconds Discovery::pause_after(int& failures, std::chrono::milliseconds first) {
-    const double longest = static_cast<double>(first.count() << std::min(failures++, kRetryDoublings));
-    return std::chrono::milliseconds(
-        std::llround(std::uniform_real_distribution<double>(0.5, 1.0)(random_) * longest));
-}
-
 bool Discovery::watched(const std::string& body) try {
     const TargetList list = list_of(Json::parse(body));
     // Changes build on the list that they were asked for; without one they say nothing whole.
@@ -258,7 +279,7 @@
                 return post();
             }
             std::cerr << "discovery: notices not taken: " << status << ' ' << text.substr(0, 80) << '\n';
-            report_pause_.expires_after(pause_after(report_failures_, kRetry));
+            report_pause_.expires_after(turns_.after_refused_notices(++report_failures_));
             report_pause_.async_wait([this, stay = stay_](auto cancelled) {
                 if (!cancelled && stay == stay_) post();
             });
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -31,6 +31,28 @@
 /// Throws BadInput or a JSON error where it is no list; entries that make no sense are passed over.
 TargetList list_of(const Json& body);
 
+/// When to call discovery, which answers all forwarders of a fleet in turn: those that start, move or fail
+/// together must not call together, and none may call so late that it breaks the rule on drains.
+class Turns {
+public:
+    Turns(std::size_t forwarders, std::uint64_t seed);
+    /// Before the first call of a process that knows a list,
+    std::chrono::milliseconds first();
+    /// of one that was told to move to another agent,
+    std::chrono::milliseconds moved();
+    /// and after so many failures in a row, of calls for the list and of notices.
+    std::chrono::milliseconds after_failure(int failures);
+    std::chrono::milliseconds after_refused_notices(int failures);
+
+private:
+    static int doubled(int failures);
+    std::chrono::milliseconds any_of(std::chrono::milliseconds span);
+    std::chrono::milliseconds half_or_more_of(std::chrono::milliseconds span);
+
+    std::mt19937_64 random_;
+    std::chrono::milliseconds of_all_;  // in which each forwarder of the fleet may call once
+};
+
 class AgentConnection;
 
 class Discovery {
@@ -57,21 +79,19 @@
     bool all_confirmed() const { return notices_.empty(); }
 
 private:
+    void begin(std::optional<std::int64_t> held, std::chrono::milliseconds pause);
     void leave();
     void watch();
     void watch_after(std::chrono::milliseconds pause);
     bool watched(const std::string& body);
     void post();
-    /// After so many failures in a row: many forwarders fail together, and must not come again together.
-    std::chrono::milliseconds pause_after(int& failures, std::chrono::milliseconds first);
 
     asio::io_context& io_;
     Tcp::endpoint address_;
     Told told_;
     Confirmed confirmed_;
     std::optional<std::int64_t> revision_;  // none where no whole list of this agent is known
-    std::mt19937_64 random_;
-    std::chrono::milliseconds turn_of_all_;  // in which each forwarder of the fleet may call once
+    Turns turns_;
     std::shared_ptr<AgentConnection> watch_, reports_;
     asio::steady_timer watch_pause_, report_pause_;
     int watch_failures_ = 0, report_failures_ = 0;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,4 +1,5 @@
 // The built program between stub sockets: clients, targets and discovery.
+#include "net/discovery.hpp"
 #include "node_fixture.hpp"
 
 namespace lockgw {
@@ -346,6 +347,41 @@
     EXPECT_GE(Clock::now() - begin, 700ms);  // half of 200, 400 and 800 ms at least
 }
 
+// A change counts as told 6 s after a start and 4 s after a move to another agent at the latest, and what
+// drains binds 2 s later: the turns of a large fleet must leave room for a call without an answer and one
+// more.
+TEST(Turns, OfALargeFleetLeaveTimeForTheRuleOnDrains) {
+    constexpr auto no_answer = 3500ms, no_whole_list = 1500ms;  // so long a call is waited for
+    for (const std::size_t forwarders : {std::size_t(3), std::size_t(300), std::size_t(1) << 60}) {
+        auto first = 0ms, moved = 0ms, pause = 0ms;
+        for (std::uint64_t seed = 0; seed < 300; ++seed) {
+            Turns turns(forwarders, seed);
+            first = std::max(first, turns.first());
+            moved = std::max(moved, turns.moved());
+            for (int failures = 1; failures < 9; ++failures)
+                pause = std::max(pause, turns.after_failure(failures));
+        }
+        EXPECT_LE(first + no_answer + pause, 6000ms + 1500ms) << forwarders;
+        EXPECT_LE(moved + no_whole_list + pause, 4000ms) << forwarders;
+        EXPECT_LE(pause, 1000ms) << forwarders;  // the agent may have something to tell meanwhile
+        if (forwarders > 3) {
+            EXPECT_GT(std::min({first, moved, pause}), 900ms) << forwarders;  // and are spread
+        } else {
+            EXPECT_LE(std::max(first, moved), 150ms);
+        }
+    }
+}
+
+TEST_F(NodeTest, AsksInTimeHoweverLargeItsFleet) {
+    node.config()["settings"]["n_instances"] = 100'000;  // a turn of all takes more than an hour
+    node.start_ready();
+    agent_request("/v1/servers").answer(503);
+    agent_request("/v1/servers").answer(503);
+    tell(agent_request("/v1/servers"), list(2, false, {}));
+    EXPECT_TRUE(
+        std::string(agent_request("/v1/servers").request.target()).starts_with("/v1/servers?from=2&"));
+}
+
 TEST_F(NodeTest, AsksForTheWholeListWhereWhatIsKnownCannotAllBeRead) {
     node.config()["known"]["members"].push_back({{"id", 5}});
     node.start_ready();
