Do not write a repeat whose connection comes up after its window has closed

At fault: targets.cpp, TargetConnection::start: a connection may take up to connect_timeout, and write() asked nothing after it. The tests were seen to fail without the change.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -194,6 +194,8 @@
     MessageId message = 0;
     EndpointId endpoint = 0;
     Time time_out{0};
+    /// A repeat that must begin by then, however long its connection takes to come up; else it is NotSent.
+    std::optional<Time> begin_within{};
 };
 struct CancelAttempt {
     MessageId message = 0;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -611,7 +611,9 @@
         ++message.out;
         ++calls_.at(call_id).out;
         if (message.key) ++keys_[*message.key].out;
-        actions_.emplace_back(Send{id, to, time_out(message, now)});
+        const bool bound = message.doubt_since && message.terms->effect == Effect::Dedup;
+        const auto within = bound ? std::optional(resend_until(message) - now) : std::nullopt;
+        actions_.emplace_back(Send{id, to, time_out(message, now), within});
     }
 
     // Where a call may carry several messages, the next ones in order travel along.
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -596,8 +596,8 @@
         event.outcome = Outcome::NotSent;
         return observe(event);
     }
-    attempts.push_back(
-        {send.message, send.endpoint, attempt, entry->message.key, entry->message.body, send.time_out});
+    attempts.push_back({send.message, send.endpoint, attempt, entry->message.key, entry->message.body,
+        send.time_out, send.begin_within});
 }
 void Forwarder::carry_out(const CancelAttempt& cancel) {
     if (elsewhere_.contains({cancel.message, cancel.attempt}))
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -86,7 +86,7 @@
         begun_ = Clock::now();
         rested_ = socket_.is_open() ? std::optional(begun_ - idle_since_) : std::nullopt;
         ++turn_;
-        written_ = false;
+        writing_ = written_ = false;
         call_ = std::move(attempts);
         given_up_.assign(call_.size(), std::nullopt);
         answer_ = Answer(several());
@@ -94,9 +94,11 @@
             socket_.cancel();  // the watch over an idle connection
             return write();
         }
-        wait_until(begun_ + std::min<Clock::duration>(longest(), owner_.config_.connect_timeout));
+        wait_until(std::min(
+            begin_by(), begun_ + std::min<Clock::duration>(longest(), owner_.config_.connect_timeout)));
         socket_.async_connect(address_, guarded([this](auto failed) {
             if (failed) return end(Outcome::NoConnection);
+            if (Clock::now() >= begin_by()) return end(Outcome::NotSent);  // the loop may have been late
             socket_.set_option(Tcp::no_delay(true), failed);
             socket_.non_blocking(true, failed);
             write();
@@ -142,6 +144,8 @@
     }
     void expire() {
         if (call_.empty()) return owner_.drop(shared_from_this());
+        // the bound is our own: it says nothing of the target
+        if (!writing_ && Clock::now() >= begin_by()) return end(Outcome::NotSent);
         end(!written_ ? Outcome::NoConnection : answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
     }
 
@@ -155,7 +159,16 @@
         return longest;
     }
 
+    /// The earliest moment after which one of its messages must not begin any more.
+    Clock::time_point begin_by() const {
+        auto latest = Clock::time_point::max();
+        for (const Attempt& attempt : call_)
+            if (attempt.begin_within) latest = std::min(latest, begun_ + *attempt.begin_within);
+        return latest;
+    }
+
     void write() {
+        writing_ = true;
         const auto left = begun_ + longest() - Clock::now();
         wait_until(begun_ + longest());
         request_ = {http::verb::post, several() ? "/v1/messages:batch" : "/v1/messages", 11};
@@ -260,6 +273,7 @@
     std::uint64_t turn_ = 0;
     std::vector<Attempt> call_;  // until their outcomes are told
     std::vector<std::optional<Outcome>> given_up_;
+    bool writing_ = false;  // the call has begun
     bool written_ = false;  // the call's last byte
     Clock::time_point begun_{}, idle_since_{};
     std::optional<Clock::duration> rested_;  // before its call, where it carried one before
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -26,6 +26,7 @@
     std::uint32_t attempt = 0;
     std::string key, body;
     cometspoke::Time time_out{0};
+    std::optional<cometspoke::Time> begin_within{};  ///< not written at all after that
 };
 
 class TargetConnection;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -645,6 +645,25 @@
     for (const MessageId id : refused) EXPECT_LT(id, 100u);
 }
 
+// A repeat whose connection takes long to come up must not begin once its window has closed.
+TEST(Repeats, OfAKeyedMessageAreBoundByItsWindow) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(1, 1, kDedup);
+    rig.arrive(2, 1, kRetryable);
+    for (const Send& send : rig.sends()) {
+        EXPECT_FALSE(send.begin_within) << send.message;
+        rig.outcome(send, Outcome::ServerError);
+    }
+    const Time first = rig.now;
+    const auto again = rig.pass(ms(3000));
+    ASSERT_EQ(again.size(), 2u);
+    for (const auto& [at, send] : again) {
+        EXPECT_EQ(send.begin_within.has_value(), send.message == 1u);
+        EXPECT_EQ(at + send.begin_within.value_or(first + ms(4900) - at), first + ms(4900));
+    }
+}
+
 // Incident ife484d: a call that is only slow is left out while nothing better can be done.
 TEST(TimeOuts, ASlowCallIsNotRepeatedWithoutReason) {
     Rig rig;
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -1,4 +1,5 @@
 // Targets that answer with noise, too much or without end, and targets that come and go.
+#include "net/targets.hpp"
 #include "node_fixture.hpp"
 
 namespace lockgw {
@@ -179,6 +180,49 @@
     EXPECT_EQ(target.connections(), kept + 2);
 }
 
+/// Takes no connection any more: its queue is full, and who connects hears nothing.
+class FullListener {
+public:
+    FullListener() : acceptor_(io_) {
+        acceptor_.open(Tcp::v4());
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen(0);
+        for (auto& one : waiting_) {
+            one.open(Tcp::v4());
+            one.native_non_blocking(true);  // asio's own connect would wait
+            const auto to = acceptor_.local_endpoint();
+            ::connect(one.native_handle(), to.data(), static_cast<socklen_t>(to.size()));
+        }
+    }
+    Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+private:
+    asio::io_context io_;
+    Tcp::acceptor acceptor_;
+    std::array<Tcp::socket, 4> waiting_{
+        Tcp::socket(io_), Tcp::socket(io_), Tcp::socket(io_), Tcp::socket(io_)};
+};
+
+// split+mass: the connection came up a second later, when the message's window had closed, and the call was
+// written all the same. What was not begun in time never ran, and says nothing of the target.
+TEST(Targets, BeginNothingAfterItsBound) {
+    const FullListener listener;
+    Json file = make_config("127.0.0.1:1", "127.0.0.1:1");
+    file["settings"]["limits"]["connect_timeout_ms"] = 30000;
+    const Config config = read_config(file);
+    for (const bool bound : {true, false}) {
+        asio::io_context io;
+        std::optional<cometspoke::Outcome> outcome;
+        Targets targets(
+            io, config, 8, [&](const cometspoke::OutcomeEvent& event) { outcome = event.outcome; });
+        targets.set_address(1, listener.address(), 0);
+        const auto within = bound ? std::optional<cometspoke::Time>(100ms) : std::nullopt;
+        targets.start({Attempt{1, 1, 0, "", "B", 500ms, within}});
+        io.run_for(kDeadline);
+        EXPECT_EQ(outcome, bound ? cometspoke::Outcome::NotSent : cometspoke::Outcome::NoConnection);
+    }
+}
+
 // Another target may have the address of one that has gone: its calls go over connections of its own.
 TEST_F(TargetTest, UsesNoConnectionOfATargetThatHasGone) {
     start_with_one_slot();
