Withhold calls whose connection comes up after a wait, drain or ban was told

Checked: between telling and writing the module decided on no send there; the wait reached it in the millisecond in which it was read. Ruled out: a wait of the whole destination (routes are apart), answers read late (one read each). At fault: TargetConnection::start, which checked begin_within alone when the connection was up.

A call that is called off before it was begun is Withheld too: it was in doubt before, though nothing had been written.

Tests were seen to fail with the query answered yes, without the uncounted attempt, and without the wait.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -135,7 +135,8 @@
     ConnectionLost,
     CalledOff,
     NotSent,
-    Unreadable  ///< an answer came, and it was spoilt: it may have run
+    Unreadable,  ///< an answer came, and it was spoilt: it may have run
+    Withheld     ///< not begun, since it might not any more: it never ran, and is no attempt
 };
 struct LoadReport {
     double left = 0.0;   ///< share of the limit that is left
@@ -252,6 +253,9 @@
     /// or brings Settings that make no sense; nothing has changed then.
     void observe(const Event& event, Time now);
     std::vector<Action> decide(Time now);
+    /// Whether an attempt may still begin. Its connection may have come up long after its Send: a wait that
+    /// was told since then binds it too, and so do a drain, a ban and the end of its message.
+    bool may_begin(MessageId message, std::uint32_t attempt, Time now) const;
     /// For another Sender that takes over: observed there after the list and the messages.
     std::vector<Learned> learned(Time now) const;
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -340,7 +340,8 @@
         Endpoint& endpoint = endpoints_.at(call.endpoint);
         Route& route = route_of(endpoint);  // each message of a call may be told its own wait
         if (event.wait > Time(0)) route.wait_until = std::max(route.wait_until, now + event.wait);
-        if (!call.judged && event.outcome != Outcome::NotSent) {
+        const bool unsent = event.outcome == Outcome::NotSent || event.outcome == Outcome::Withheld;
+        if (!call.judged && !unsent) {
             call.judged = true;
             learn(call, event.outcome, event.report, event.rtt, now);
         }
@@ -349,7 +350,7 @@
             --endpoint.in_flight;
             --destinations_[endpoint.destination].in_flight;
             const bool lives = event.outcome == Outcome::Served || event.outcome == Outcome::ServerError ||
-                               event.outcome == Outcome::TurnedAway;
+                               event.outcome == Outcome::TurnedAway || event.outcome == Outcome::Withheld;
             if (lives) endpoint.idle.push_back(now + settings_.conn_idle), freed_.insert(ended.endpoint);
             calls_.erase(call_id);
         }
@@ -407,6 +408,15 @@
         return all;
     }
 
+    bool may_begin(MessageId id, std::uint32_t number, Time now) const {
+        const auto found = messages_.find(id);
+        const auto attempt = attempts_.find({id, number});
+        if (found == messages_.end() || attempt == attempts_.end() || attempt->second.dropped) return false;
+        const Message& message = found->second;
+        if (message.deadline <= now || (message.doubt_since && now > resend_until(message))) return false;
+        return takes_calls(calls_.at(attempt->second.call).endpoint, now);
+    }
+
     void take(const AbandonedEvent& event, Time now) { forget(event.message, now); }
 
     // A timer only brings a batch; a stream's outcome still comes; notes and probes are not used.
@@ -705,12 +715,16 @@
         return cost;
     }
 
-    // Listed as ready, no told wait, and its fall-back budget not spent.
-    bool open(EndpointId id, Time now) {
-        Endpoint& endpoint = endpoints_.at(id);
-        if (endpoint.condition != Condition::Ready || banned_.contains(id)) return false;
-        if (route_of(endpoint).wait_until > now) return false;
-        return endpoint.health == Health::Well || endpoint.cold_tag <= now;
+    // Listed as ready and no told wait.
+    bool takes_calls(EndpointId id, Time now) const {
+        const Endpoint& endpoint = endpoints_.at(id);
+        return endpoint.condition == Condition::Ready && !banned_.contains(id) &&
+               route_of(endpoint).wait_until <= now;
+    }
+    // And its fall-back budget not spent.
+    bool open(EndpointId id, Time now) const {
+        const Endpoint& endpoint = endpoints_.at(id);
+        return takes_calls(id, now) && (endpoint.health == Health::Well || endpoint.cold_tag <= now);
     }
 
     // Fragile messages keep away from endpoints that fail; dedup resends keep to the scope of the first.
@@ -803,6 +817,9 @@
     Route& route_of(Endpoint& endpoint) {
         return apart(endpoint) ? endpoint.own : destinations_.at(endpoint.destination).shared;
     }
+    const Route& route_of(const Endpoint& endpoint) const {
+        return apart(endpoint) ? endpoint.own : destinations_.at(endpoint.destination).shared;
+    }
 
     // l: an even part of the limit times what was learned. Without a known limit it is unbounded (0) until
     // the first refusal, and what the destination is seen to take stands for it.
@@ -1034,6 +1051,11 @@
         Message& message = found->second;
         --message.out;
         if (event.terminal || event.outcome == Outcome::Served) return forget(event.message, now);
+        if (event.outcome == Outcome::Withheld) {
+            --message.attempts;
+            message.not_before = now + kRetryGap;
+            return;
+        }
         message.not_before = now + pause_after(message, now);
         if (never_ran) return;
         if (!message.doubt_since || call.sent < *message.doubt_since) {
@@ -1243,5 +1265,8 @@
 }
 std::vector<Learned> Sender::learned(Time now) const { return logic_->learned(now); }
 std::vector<Action> Sender::decide(Time now) { return logic_->decide(now); }
+bool Sender::may_begin(MessageId message, std::uint32_t attempt, Time now) const {
+    return logic_->may_begin(message, attempt, now);
+}
 
 }  // namespace cometspoke
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -102,7 +102,12 @@
     : io_(io),
       config_(within_descriptors(std::move(config))),
       sender_(config_.settings, config_.seed),
-      targets_(io, config_, most_target_connections(config_),
+      targets_(
+          io, config_, most_target_connections(config_),
+          [this](MessageId id, std::uint32_t attempt) {
+              // where another process decides, it may have been told what is not known here
+              return role_ == Role::Owner && sender_.may_begin(id, attempt, now());
+          },
           [this](const OutcomeEvent& event) { outcome(event); }),
       discovery_(
           io, config_,
@@ -520,6 +525,8 @@
     if (entry != nullptr && !entry->notice) {
         if (event.terminal)
             journal_->delivered(event.message);
+        else if (event.outcome == Outcome::Withheld)
+            journal_->withdraw_attempt(event.message);
         else
             journal_->end_attempt(event.message, proves_never_ran(event.outcome));
     }
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -24,7 +24,8 @@
     Ended,
     Confirmed,
     Banned,
-    Unbanned
+    Unbanned,
+    Withdrawn
 };
 constexpr MessageId kNoMessage = 0;  // stands in the records that are of none
 
@@ -285,6 +286,9 @@
         ++entry.attempts;
     } else if (kind == Kind::NeverRan) {
         entry.out.reset();
+    } else if (kind == Kind::Withdrawn) {
+        entry.out.reset();
+        if (entry.attempts > 0) --entry.attempts;
     } else if (kind == Kind::MayHaveRun) {
         entry.doubt = entry.may_have_run();
         entry.out.reset();
@@ -322,6 +326,7 @@
 void Journal::end_attempt(MessageId id, bool never_ran) {
     write(Writer(never_ran ? Kind::NeverRan : Kind::MayHaveRun).number(id).bytes());
 }
+void Journal::withdraw_attempt(MessageId id) { write(Writer(Kind::Withdrawn).number(id).bytes()); }
 void Journal::delivered(MessageId id) { write(Writer(Kind::Delivered).number(id).bytes()); }
 void Journal::confirmed(MessageId id) { write(Writer(Kind::Confirmed).number(id).bytes()); }
 void Journal::end(MessageId id, Notice notice) {
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -87,6 +87,8 @@
     bool begin_attempt(MessageId id, const std::string& target, Wall now);
     /// The attempt that is out has an outcome.
     void end_attempt(MessageId id, bool never_ran);
+    /// It was not begun after all, and does not count.
+    void withdraw_attempt(MessageId id);
     void delivered(MessageId id);
     void end(MessageId id, Notice notice);
     void confirmed(MessageId id);
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -98,10 +98,9 @@
             begin_by(), begun_ + std::min<Clock::duration>(longest(), owner_.config_.connect_timeout)));
         socket_.async_connect(address_, guarded([this](auto failed) {
             if (failed) return end(Outcome::NoConnection);
-            if (Clock::now() >= begin_by()) return end(Outcome::NotSent);  // the loop may have been late
             socket_.set_option(Tcp::no_delay(true), failed);
             socket_.non_blocking(true, failed);
-            write();
+            begin();
         }));
     }
 
@@ -109,7 +108,8 @@
     /// connection is closed would put two copies side by side.
     void cancel(MessageId message) {
         for (std::size_t i = 0; i < call_.size(); ++i)
-            if (call_[i].message == message && !given_up_[i]) given_up_[i] = Outcome::CalledOff;
+            if (call_[i].message == message && !given_up_[i])
+                given_up_[i] = writing_ ? Outcome::CalledOff : Outcome::Withheld;
         if (!waited_for()) end(Outcome::CalledOff);
     }
 
@@ -145,7 +145,7 @@
     void expire() {
         if (call_.empty()) return owner_.drop(shared_from_this());
         // the bound is our own: it says nothing of the target
-        if (!writing_ && Clock::now() >= begin_by()) return end(Outcome::NotSent);
+        if (!writing_ && Clock::now() >= begin_by()) return end(Outcome::Withheld);
         end(!written_ ? Outcome::NoConnection : answer_.empty() ? Outcome::NoAnswer : Outcome::Unreadable);
     }
 
@@ -167,6 +167,22 @@
         return latest;
     }
 
+    /// The connection is up, perhaps late. Those that may not begin any more leave the others of their call.
+    void begin() {
+        std::vector<Attempt> stay, leave;
+        for (std::size_t i = 0; i < call_.size(); ++i) {
+            const bool may = !given_up_[i] && owner_.may_begin_(call_[i].message, call_[i].attempt);
+            (may ? stay : leave).push_back(std::move(call_[i]));
+        }
+        call_ = std::move(stay);
+        given_up_.assign(call_.size(), std::nullopt);
+        answer_ = Answer(several());
+        call_.empty() ? owner_.now_idle(shared_from_this()) : write();
+        std::vector<OutcomeEvent> told(leave.size());
+        for (OutcomeEvent& one : told) one.outcome = Outcome::Withheld;
+        report(leave, std::move(told));
+    }
+
     void write() {
         writing_ = true;
         const auto left = begun_ + longest() - Clock::now();
@@ -262,7 +278,7 @@
             told[i].attempt = call[i].attempt;
             told[i].rtt = std::chrono::duration_cast<Time>(Clock::now() - begun_);
         }
-        owner_.ended(told);
+        owner_.ended(told, call_.empty());
     }
 
     Targets& owner_;
@@ -281,8 +297,13 @@
     Answer answer_;
 };
 
-Targets::Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done)
-    : io_(io), config_(config), most_(most_connections), done_(std::move(done)) {}
+Targets::Targets(
+    asio::io_context& io, const Config& config, std::size_t most_connections, MayBegin may_begin, Done done)
+    : io_(io),
+      config_(config),
+      most_(most_connections),
+      may_begin_(std::move(may_begin)),
+      done_(std::move(done)) {}
 Targets::~Targets() = default;
 
 void Targets::set_address(EndpointId endpoint, const Tcp::endpoint& address, std::size_t kind) {
@@ -445,8 +466,8 @@
     return calls_ + idle_.size() + finishing_.size() < most;
 }
 
-void Targets::ended(const std::vector<OutcomeEvent>& outcomes) {
-    --calls_;
+void Targets::ended(const std::vector<OutcomeEvent>& outcomes, bool over) {
+    if (over) --calls_;
     for (const OutcomeEvent& outcome : outcomes) attempts_.erase({outcome.message, outcome.attempt});
     for (const OutcomeEvent& outcome : outcomes) done_(outcome);
 }
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -34,8 +34,12 @@
 class Targets {
 public:
     using Done = std::function<void(cometspoke::OutcomeEvent)>;
+    /// Asked when a connection has come up, for each message that is to be written to it: the decision may be
+    /// old by then. What may not begin is Withheld.
+    using MayBegin = std::function<bool(MessageId, std::uint32_t attempt)>;
 
-    Targets(asio::io_context& io, const Config& config, std::size_t most_connections, Done done);
+    Targets(asio::io_context& io, const Config& config, std::size_t most_connections, MayBegin may_begin,
+        Done done);
     ~Targets();
 
     /// `kind` as in the settings: it tells how many messages one call to it may carry.
@@ -85,11 +89,13 @@
     void now_idle(const Connection& connection);
     void finishing(const Connection& connection);
     void drop(const Connection& connection);
-    void ended(const std::vector<cometspoke::OutcomeEvent>& outcomes);
+    /// `over`: the call that carried them carries no other.
+    void ended(const std::vector<cometspoke::OutcomeEvent>& outcomes, bool over);
 
     asio::io_context& io_;
     const Config& config_;
     std::size_t most_, elsewhere_ = 0;
+    MayBegin may_begin_;
     Done done_;
     std::array<char, 16 * 1024> in_;  // of the connection that is read just now
     struct Place {
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -45,6 +45,8 @@
         journal.end_attempt(2, true);
         ASSERT_TRUE(journal.begin_attempt(2, "s-2", kNow + milliseconds(5)));
         journal.end_attempt(2, false);
+        ASSERT_TRUE(journal.begin_attempt(2, "s-4", kNow + milliseconds(7)));
+        journal.withdraw_attempt(2);
         ASSERT_TRUE(journal.begin_attempt(2, "s-3", kNow + milliseconds(9)));
         journal.delivered(3);
         journal.end(4, {true, milliseconds(500)});
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -143,6 +143,53 @@
     EXPECT_THROW(rig.sender.observe(SettingsEvent{settings}, rig.now), std::invalid_argument);
 }
 
+// ---- calls whose connections come up late ----
+
+// By hand: told 500 ms at its outcome, the route is shut to every call from then on, whenever it was decided.
+TEST(LateConnection, MayNotCarryWhatAWaitADrainOrABanHasForbidden) {
+    const auto begins_after = [](const auto& news) {
+        Rig rig;
+        rig.list(0, 1);
+        rig.arrive(1, 1);
+        rig.arrive(2, 1);
+        const auto sends = rig.sends();
+        EXPECT_EQ(sends.size(), 2u);
+        EXPECT_TRUE(rig.sender.may_begin(2, 0, rig.now));
+        news(rig, sends[0]);
+        return rig.sender.may_begin(2, 0, rig.now);
+    };
+    const auto wait = [](Rig& rig, const Send& first) {
+        rig.outcome(first, Outcome::TurnedAway, 0, ms(500));
+    };
+    EXPECT_FALSE(begins_after(wait));
+    EXPECT_FALSE(begins_after([&](Rig& rig, const Send& first) { wait(rig, first), rig.now += ms(499); }));
+    EXPECT_TRUE(begins_after([&](Rig& rig, const Send& first) { wait(rig, first), rig.now += ms(500); }));
+    EXPECT_FALSE(begins_after([](Rig& rig, const Send&) { rig.list(0, 1, 0, 0.0, Condition::Draining); }));
+    EXPECT_FALSE(begins_after([](Rig& rig, const Send&) { rig.list(0, 1, 0, 0.0, Condition::Gone); }));
+    EXPECT_FALSE(begins_after([](Rig& rig, const Send&) { rig.sender.observe(BanEvent{0, true}, rig.now); }));
+    EXPECT_FALSE(begins_after([](Rig& rig, const Send&) { rig.sender.observe(AbandonedEvent{2}, rig.now); }));
+    EXPECT_FALSE(begins_after([](Rig& rig, const Send&) { rig.now += ms(20000); }));  // its time is up
+    EXPECT_TRUE(begins_after([](Rig& rig, const Send& first) { rig.outcome(first, Outcome::ServerError); }));
+}
+
+// With a single attempt allowed: what was withheld has had none, may be refused and goes out after the wait.
+TEST(LateConnection, AWithheldCallIsNoAttempt) {
+    Settings settings = make_settings();
+    settings.max_attempts = 1;
+    Rig rig(settings);
+    rig.list(0, 1);
+    rig.arrive(1, 1, kFragile);
+    const auto first = rig.sends();
+    ASSERT_EQ(first.size(), 1u);
+    rig.outcome(first[0], Outcome::Withheld);
+    const auto again = rig.pass(ms(1000));
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_EQ(again[0].second.message, 1u);
+    EXPECT_GT(again[0].first - rig.now + ms(1000), Time(0));  // never at once: no spinning
+    rig.outcome(again[0].second, Outcome::TurnedAway);
+    EXPECT_EQ(all<Refuse>(rig.decide()).size(), 1u);
+}
+
 // ---- tags ----
 
 // One slot, weights 1 and 0.5, a call every 0.7 s. By hand, in seconds from the start: both level at -2;
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -214,15 +214,100 @@
         asio::io_context io;
         std::optional<cometspoke::Outcome> outcome;
         Targets targets(
-            io, config, 8, [&](const cometspoke::OutcomeEvent& event) { outcome = event.outcome; });
+            io, config, 8, [](auto...) { return true; },
+            [&](const cometspoke::OutcomeEvent& event) { outcome = event.outcome; });
         targets.set_address(1, listener.address(), 0);
         const auto within = bound ? std::optional<cometspoke::Time>(100ms) : std::nullopt;
         targets.start({Attempt{1, 1, 0, "", "B", 500ms, within}});
         io.run_for(kDeadline);
-        EXPECT_EQ(outcome, bound ? cometspoke::Outcome::NotSent : cometspoke::Outcome::NoConnection);
+        EXPECT_EQ(outcome, bound ? cometspoke::Outcome::Withheld : cometspoke::Outcome::NoConnection);
     }
 }
 
+/// A target whose connections come up when the test says so: a full queue drops what knocks, and the system
+/// knocks again a second later.
+class LateTarget {
+public:
+    LateTarget() : acceptor_(io_) {
+        acceptor_.open(Tcp::v4());
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen(0);
+    }
+    std::string address() const { return text_of(acceptor_.local_endpoint()); }
+    Tcp::socket accept() { return acceptor_.accept(); }
+    /// From here on nothing comes up until the next accept(), which takes this filling.
+    void fill() { filling_.connect(acceptor_.local_endpoint()); }
+    static bool readable(Tcp::socket& socket, std::chrono::milliseconds within) {
+        pollfd entry{socket.native_handle(), POLLIN, 0};
+        return poll(&entry, 1, static_cast<int>(within.count())) == 1;
+    }
+    static void answer(Tcp::socket& socket, const std::string& text) {
+        char request[4096];
+        ASSERT_TRUE(readable(socket, kDeadline));
+        socket.read_some(asio::buffer(request));
+        asio::write(socket, asio::buffer(text));
+    }
+
+private:
+    asio::io_context io_;
+    Tcp::acceptor acceptor_;
+    Tcp::socket filling_{io_};
+};
+
+// zone+brink, join+mass: a call that was decided before a wait was told was written in the middle of it, when
+// its connection came up. It is no attempt then, and goes out once the wait is over.
+TEST_F(TargetTest, AWaitBindsACallWhoseConnectionComesUpLate) {
+    LateTarget late;
+    node.config()["known"] = list(1, true, {member("s-1", late.address(), 7)});
+    node.config()["settings"]["limits"]["connect_timeout_ms"] = 15000;
+    node.config()["settings"]["limits"]["max_attempts"] = 1;
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    Tcp::socket first = late.accept();
+    late.fill();
+    ASSERT_TRUE(LateTarget::readable(first, kDeadline));
+    ASSERT_EQ(enqueue(client, "00000000000000aa"), "+OK");  // its connection does not come up
+    std::this_thread::sleep_for(200ms);
+    LateTarget::answer(first, "HTTP/1.1 429 X\r\nContent-Length: 0\r\nRetry-After: 4\r\n\r\n");
+    const auto told = Clock::now();
+    const Tcp::socket filling = late.accept();
+    Tcp::socket second = late.accept();
+    const auto up = Clock::now();
+    ASSERT_LT(up - told, 3s);
+    EXPECT_FALSE(LateTarget::readable(
+        second, std::chrono::duration_cast<std::chrono::milliseconds>(told + 3900ms - Clock::now())));
+    EXPECT_TRUE(LateTarget::readable(second, kDeadline));
+}
+
+// Of several messages in one call only those leave it that may not begin any more.
+TEST(Targets, WriteOnlyWhatMayStillBegin) {
+    HttpStub target;
+    Json file = make_config("127.0.0.1:1", "127.0.0.1:1");
+    file["settings"]["family_info"]["per_call"] = {3};
+    const Config config = read_config(file);
+    asio::io_context io;
+    std::map<MessageId, cometspoke::Outcome> outcomes;
+    Targets targets(
+        io, config, 8, [](MessageId message, std::uint32_t) { return message == 2; },
+        [&](const cometspoke::OutcomeEvent& event) { outcomes[event.message] = event.outcome; });
+    targets.set_address(1, tcp_endpoint(target.address(), "target"), 0);
+    const auto attempt = [](MessageId id) { return Attempt{id, 1, 0, "", "B", 20s, std::nullopt}; };
+    targets.start({attempt(1), attempt(2), attempt(3)});
+    EXPECT_EQ(targets.calls(), 1u);
+    std::thread answering([&target] {
+        const Exchange call = target.next();
+        EXPECT_EQ(call.header("X-Call-Id"), "0000000000000002");
+        call.answer(200);
+    });
+    while (outcomes.size() < 3) ASSERT_GT(io.run_one_for(kDeadline), 0u);
+    answering.join();
+    using cometspoke::Outcome;
+    EXPECT_EQ(outcomes,
+        (std::map<MessageId, Outcome>{{1, Outcome::Withheld}, {2, Outcome::Served}, {3, Outcome::Withheld}}));
+    EXPECT_EQ(targets.calls(), 0u);
+}
+
 // Another target may have the address of one that has gone: its calls go over connections of its own.
 TEST_F(TargetTest, UsesNoConnectionOfATargetThatHasGone) {
     start_with_one_slot();
