Lead a call with the message that has most time left, so that none is over behind it

Ruled out: notices (posted and answered 204 in the same ms), restarts, answers cut short (all ten states read), answers after the least or the greatest time of a call: nine calls of which another than the first was over lost nothing. At fault: Targets::start_call, which kept arrival order, so that the message with the least time led.

The test was seen to fail without the order.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -604,7 +604,7 @@
         return observe(event);
     }
     attempts.push_back({send.message, send.endpoint, attempt, entry->message.key, entry->message.body,
-        send.time_out, send.begin_within});
+        send.time_out, send.begin_within, entry->message.deadline});
 }
 void Forwarder::carry_out(const CancelAttempt& cancel) {
     if (elsewhere_.contains({cancel.message, cancel.attempt}))
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -341,6 +341,10 @@
 
 void Targets::start_call(std::vector<Attempt> attempts) {
     if (attempts.empty()) return;
+    // The other side reckons a call's time by its first message: that must not be over while it is waited
+    // for.
+    std::stable_sort(attempts.begin(), attempts.end(),
+        [](const Attempt& a, const Attempt& b) { return a.deadline > b.deadline; });
     const EndpointId endpoint = attempts.front().endpoint;
     Connection connection = take_idle(endpoint);
     const auto place = places_.find(endpoint);
--- a/src/net/targets.hpp
+++ b/src/net/targets.hpp
@@ -14,11 +14,11 @@
 #include <vector>
 
 #include "config.hpp"
+#include "journal.hpp"
 
 namespace lockgw {
 
 using cometspoke::EndpointId;
-using cometspoke::MessageId;
 
 struct Attempt {
     MessageId message = 0;
@@ -27,6 +27,7 @@
     std::string key, body;
     cometspoke::Time time_out{0};
     std::optional<cometspoke::Time> begin_within{};  ///< not written at all after that
+    Wall deadline{};                                 ///< of its message
 };
 
 class TargetConnection;
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -117,9 +117,9 @@
     EXPECT_GT(std::stoi(call.header("X-Budget-Ms")), 0);
     const Json sent = Json::parse(call.request.body());
     ASSERT_EQ(sent.size(), 3u);
-    EXPECT_EQ(sent[0], (Json{{"id", a}, {"key", "5c0f6e1a2b3d4c59"}, {"body", "Qk9EWQ=="}}));
+    EXPECT_EQ(sent[2], (Json{{"id", a}, {"key", "5c0f6e1a2b3d4c59"}, {"body", "Qk9EWQ=="}}));
     EXPECT_EQ(sent[1]["id"], b);
-    EXPECT_EQ(sent[2]["id"], c);
+    EXPECT_EQ(sent[0]["id"], c);
     answer(
         call, {{{"id", a}, {"state", "ok"}}, {{"id", b}, {"state", "error"}}, {{"id", c}, {"state", "ok"}}});
     // the fragile one may have run: it is over, and nothing comes again
@@ -127,6 +127,28 @@
     EXPECT_TRUE(target.none_within(300ms));
 }
 
+// split+brink, roll+brink: a call's time was over for the other side with that of its first message, and its
+// answer counted for nothing, while the others were waited for.
+TEST_F(BatchTest, IsLedByTheMessageThatHasMostTime) {
+    node.config()["settings"]["family_info"]["per_call"] = {3};
+    start_with_one_slot();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    const Exchange first = target.next();
+    for (const auto& [one, left_ms] : {std::pair(a, 9000), std::pair(b, 30000), std::pair(c, 20000)})
+        ASSERT_EQ(enqueue(client, one, "safe", left_ms), "+OK");
+    first.answer(200);
+    const Exchange call = target.next();
+    const Json sent = Json::parse(call.request.body());
+    ASSERT_EQ(sent.size(), 3u);
+    EXPECT_EQ(sent[0]["id"], b);
+    EXPECT_EQ(sent[1]["id"], c);
+    EXPECT_EQ(sent[2]["id"], a);
+    EXPECT_GT(std::stoi(call.header("X-Budget-Ms")), 20000);  // as long as the first one has
+    EXPECT_LE(std::stoi(call.header("X-Budget-Ms")), 30000);
+    call.answer(500);
+}
+
 TEST_F(BatchTest, ATurnedAwayMessageWaitsAsLongAsTold) {
     const Exchange call = batch_of({{a, "safe"}, {b, "unsafe"}});
     const auto told = Clock::now();
