Take no id on again after its end: it is known until its time is up

Ruled out: an id that is still held (answered +OK before), spoilt requests of our own (the first call was served).

The test was seen to fail without the mend: the purchase went out a second time.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -506,7 +506,7 @@
         return;
     }
     // A client that met a closed connection hands the same id in once more: it is held already.
-    if (journal_->find(id) != nullptr) return answer(resp::simple("OK"));
+    if (journal_->find(id) != nullptr || ended_.contains(id)) return answer(resp::simple("OK"));
     if (!directory_.has(message.destination, std::chrono::steady_clock::now()) && !directory_.blank())
         return answer(whole_list_ ? resp::error("ERR unknown destination") : busy(kRoomWait));
     if (journal_->unended() + newcomers_.size() >= config_.settings.most_held) return answer(busy(kRoomWait));
@@ -525,7 +525,7 @@
     const Entry* entry = journal_->find(event.message);
     if (entry != nullptr && !entry->notice) {
         if (event.terminal)
-            journal_->delivered(event.message);
+            remember(entry->message), journal_->delivered(event.message);
         else if (event.outcome == Outcome::Withheld)
             journal_->withdraw_attempt(event.message);
         else
@@ -628,11 +628,20 @@
 void Forwarder::carry_out(const Log& log) { std::cerr << log.text << '\n'; }
 
 void Forwarder::end(MessageId id, const Notice& notice) {
-    if (journal_->find(id) == nullptr) return;  // its client has the answer itself
+    const Entry* entry = journal_->find(id);
+    if (entry == nullptr) return;  // its client has the answer itself
+    remember(entry->message);
     journal_->end(id, notice);
     discovery_.report(id, notice);
 }
 
+/// An id is handed in again where its client met a closed connection, and by some that copy one.
+void Forwarder::remember(const Message& ended) {
+    for (; !ended_until_.empty() && ended_until_.front().first <= wall_now(); ended_until_.pop_front())
+        ended_.erase(ended_until_.front().second);
+    if (ended_.insert(ended.id).second) ended_until_.emplace_back(ended.deadline, ended.id);
+}
+
 void Forwarder::operate(const OperatorCall& call, const Management::Answer& answer) {
     const bool replaced = role_ == Role::Offered || role_ == Role::Released;
     if (call.order == Order::Ready || !replaced) return answer(verdict_on(call));
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -95,6 +96,7 @@
     void carry_out(const cometspoke::Watch&) {}      // discovery is always watched
     void carry_out(const cometspoke::FetchList&) {}  // and its whole list asked for first
     void end(MessageId id, const Notice& notice);
+    void remember(const Message& ended);
 
     asio::io_context& io_;
     Config config_;
@@ -128,6 +130,8 @@
     bool drained_ = false;                     // by the operators: the process goes on
     std::map<MessageId, Newcomer> newcomers_;  // handed in this turn, not answered yet
     bool whole_list_ = false;                  // discovery has told all targets once
+    std::set<MessageId> ended_;                // whose time is not up: none of them is taken on anew
+    std::deque<std::pair<Wall, MessageId>> ended_until_;
 };
 
 }  // namespace lockgw
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -52,6 +52,23 @@
     EXPECT_TRUE(target.none_within(300ms));
 }
 
+// join+brink: some clients copy an id. Taken on anew after its end, a purchase would be delivered twice.
+TEST_F(NodeTest, TakesNoIdOnAgainAfterItsEnd) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "unsafe"), "+OK");
+    target.next().answer(200);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(enqueue(client, id, "unsafe"), "+OK");
+    const std::string other = "00000000000000aa";
+    ASSERT_EQ(enqueue(client, other, "unsafe", 5000), "+OK");
+    target.next().answer(500);  // it may have run: it is over
+    agent_request("/reports").answer(204);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(enqueue(client, other, "unsafe", 5000), "+OK");
+    EXPECT_TRUE(target.none_within(500ms));
+}
+
 class Repeated : public NodeTest, public ::testing::WithParamInterface<const char*> {};
 TEST_P(Repeated, GoesAgainUnderTheSameId) {
     node.start_ready();
