--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -151,12 +151,13 @@
             });
     }
     Exchange exchange_of(const std::shared_ptr<Connection>& connection) {
+        const auto reading = std::make_shared<bool>(false);  // an answer may be written in pieces
         return {connection->parser->get(),
-            [this, connection](const std::string& bytes) {
-                asio::post(io_, [this, connection, bytes] {
+            [this, connection, reading](const std::string& bytes) {
+                asio::post(io_, [this, connection, reading, bytes] {
                     boost::system::error_code failed;
                     asio::write(connection->socket, asio::buffer(bytes), failed);
-                    if (!failed) read(connection);
+                    if (!failed && !std::exchange(*reading, true)) read(connection);
                 });
             },
             [this, connection] {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -68,6 +68,49 @@
     EXPECT_EQ(notices(agent_request("/reports")).size(), 1u);  // the first one is confirmed
 }
 
+// As many servers as any deployment is said to have, one destination for each two of them, and as many
+// forwarders; indented, and in pieces that end anywhere. Known from the start, told whole, and changed at
+// once.
+class LargeList : public NodeTest {
+protected:
+    static constexpr int kServers = 1024;
+    Json servers(int revision, bool complete, const char* phase = "in_service") {
+        std::vector<Json> all;
+        for (int i = 0; i < kServers; ++i)
+            all.push_back(member("s-" + std::to_string(i), target.address(), i / 2, phase));
+        return list(revision, complete, all);
+    }
+    static void tell_in_pieces(const Exchange& watch, const Json& told) {
+        const std::string body = told.dump(4);
+        watch.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        for (std::size_t at = 0; at < body.size(); at += 50'001) {
+            watch.write(body.substr(at, 50'001));
+            std::this_thread::sleep_for(5ms);
+        }
+    }
+    void expect_delivered(Client& client, const std::string& one, int destination) {
+        ASSERT_EQ(enqueue(client, one, "safe", 30000, "B", destination), "+OK");
+        const Exchange call = target.next();
+        EXPECT_EQ(call.header("X-Call-Id"), one);
+        call.answer(200);
+    }
+};
+TEST_F(LargeList, IsTakenWholeHoweverItComes) {
+    node.config()["settings"]["n_instances"] = kServers;
+    node.config()["known"] = servers(1, true);
+    node.start_ready();
+    Client client = node.client();
+    expect_delivered(client, "00000000000000a1", 0);
+    expect_delivered(client, "00000000000000a2", kServers / 2 - 1);
+    tell_in_pieces(agent_request("/v1/servers?from=1"), servers(2, true));
+    tell_in_pieces(agent_request("/v1/servers?from=2"), servers(3, false, "terminating"));
+    const Exchange watch = agent_request("/v1/servers?from=3");  // so the one before has been read
+    ASSERT_EQ(enqueue(client, "00000000000000a3", "safe", 30000, "B", 0), "+OK");
+    EXPECT_TRUE(target.none_within(500ms));  // all of them drain
+    tell_in_pieces(watch, servers(4, false));
+    EXPECT_EQ(target.next().header("X-Call-Id"), "00000000000000a3");
+}
+
 // join+brink: some clients copy an id. Taken on anew after its end, a purchase would be delivered twice.
 TEST_F(NodeTest, TakesNoIdOnAgainAfterItsEnd) {
     node.start_ready();
