Give idle connections back where an endpoint turns new ones away with 503 and a close

The protocol's 503 stands for too many connections as well; it was read as a limit, while every forwarder kept its idle connections, which fill the endpoints' tables. At fault: Answer::outcome, which made no difference of it, so that the module's rule for used-up allowances never applied.

The test was seen to fail without the line in the module.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -152,6 +152,7 @@
     Time rtt{0};
     Time wait{0};  ///< what is left of a told wait, 0 if none: it binds however the attempt ended
     std::optional<LoadReport> report;
+    bool no_connections = false;  ///< TurnedAway, as the endpoint holds all the connections that it takes
 };
 /// An answer of which more is to come has told a wait.
 struct WaitTold {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -340,6 +340,7 @@
         Endpoint& endpoint = endpoints_.at(call.endpoint);
         take(WaitTold{call.endpoint, event.wait}, now);  // each message of a call may be told its own
         const bool unsent = event.outcome == Outcome::NotSent || event.outcome == Outcome::Withheld;
+        if (event.no_connections) unconnected_[endpoint.kind] = now;  // idle ones are in the way
         if (!call.judged && !unsent) {
             call.judged = true;
             learn(call, event.outcome, event.report, event.rtt, now);
--- a/src/net/answer.cpp
+++ b/src/net/answer.cpp
@@ -174,6 +174,7 @@
             break;
         case 503:
             event.outcome = head["X-Over-Slots"] == "1" ? Outcome::NotSent : Outcome::TurnedAway;
+            event.no_connections = event.outcome == Outcome::TurnedAway && !parser_->get().keep_alive();
             break;
         case 504:
             event.outcome = Outcome::NotSent;
--- a/src/net/targets.cpp
+++ b/src/net/targets.cpp
@@ -283,6 +283,7 @@
             told[i].message = call[i].message;
             told[i].endpoint = call[i].endpoint;
             told[i].attempt = call[i].attempt;
+            if (rested_) told[i].no_connections = false;  // it was let in before: closed for another reason
             if (wait_until_)
                 told[i].wait = std::max(Time(0), std::chrono::ceil<Time>(*wait_until_ - Clock::now()));
             told[i].rtt = std::chrono::duration_cast<Time>(Clock::now() - begun_);
--- a/tests/target_test.cpp
+++ b/tests/target_test.cpp
@@ -202,6 +202,31 @@
     EXPECT_EQ(target.connections(), kept + 2);
 }
 
+// kumamoto-main, 350 forwarders: endpoints turned new connections away and closed them, while idle ones that
+// all the forwarders kept filled their tables.
+class NewConnection : public TargetTest, public ::testing::WithParamInterface<bool> {};
+TEST_P(NewConnection, ThatIsTurnedAwayAndClosedEndsTheKeepingOfIdleOnes) {
+    const bool closed = GetParam();
+    node.start_ready();
+    Client client = node.client();
+    const int none = target.connections();
+    std::vector<Exchange> calls;  // the last one on a connection of its own
+    for (int i = 0; i < 2 || target.connections() < none + 2; ++i) {
+        ASSERT_EQ(enqueue(client, "00000000000000a" + std::to_string(i)), "+OK");
+        calls.push_back(target.next());
+    }
+    calls.back().answer(503, closed ? "Connection: close\r\n" : "");
+    calls.pop_back();
+    for (const Exchange& call : calls) call.answer(200);
+    target.next().answer(200);  // the one that was turned away
+    expect_delivered(client, "00000000000000b1");
+    std::this_thread::sleep_for(300ms);
+    const int before = target.connections();
+    expect_delivered(client, "00000000000000b2");
+    EXPECT_EQ(target.connections(), before + (closed ? 1 : 0));
+}
+INSTANTIATE_TEST_SUITE_P(Target, NewConnection, ::testing::Bool());
+
 /// Takes no connection any more: its queue is full, and who connects hears nothing.
 class FullListener {
 public:
