Probe endpoints that only messages which may not be repeated can go to

Ruled out, one section of the settings swapped at a time: zones, limits, costs, connections, windows, deadlines. Change: where no other message of the destination can bring news, a fragile one goes: one at a time, at the pace of the fall-back budget; each call that hangs doubles the pause before the next (1, 2, 4 time-outs); a call unanswered for four time-outs is dropped where the sick hold half of the slots. Chosen over probes by GET, which not every deployment allows, and over taking the condition out, which risks many messages at once. Serialization of learned state goes to a header of its own.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,8 +1,6 @@
-// The decisions of cometspoke, all of them. Types, events and actions: include/cometspoke/sender.hpp.
-//
-// The ordinary path is mClock's tag scheduler: a destination stands for a virtual machine, the slots for the
-// queue depth. R, L, P: tags of a destination's head. All else acts only under the condition that its comment
-// names.
+// The decisions of cometspoke (interface: include/cometspoke/sender.hpp). The ordinary path is mClock's tag
+// scheduler: a destination stands for a virtual machine, the slots for the queue depth. R, L, P: tags of a
+// destination's head. All else acts only under the condition that its comment names.
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -13,12 +11,13 @@
 #include <utility>
 
 #include "cometspoke/sender.hpp"
+#include "learned_figures.hpp"
 
 namespace cometspoke {
 namespace {
 
 constexpr Time kNever{4'000'000'000'000'000'000};  // far from overflow when one is taken from another
-constexpr Time kLongAgo{-4'000'000'000'000'000'000};
+constexpr Time kLongAgo = kNeverSet;
 
 constexpr double kSigma = 1.0;      // idle credit in sends: the design's default
 constexpr double kCapShare = 0.75;  // calls to one destination stay under this share of the slots
@@ -52,10 +51,12 @@
 constexpr Time kSlowConnect{500'000};    // a connect that fails later found nobody: not an allowance used up
 constexpr double kFailTrip = 0.5;        // most calls failing: an outage
 constexpr double kSpoiltBlend =
-    0.1;                             // a spoilt answer: seven in a row trip, one in ten among good ones never
-constexpr double kFragileBar = 0.2;  // above this share of failures fragile messages wait
-constexpr int kShutRefusals = 3;     // refusals in a row with no success between: shut, not above a limit
-constexpr double kBudgetUse = 0.9;   // part of the fall-back budget used; limits lie below the capacity
+    0.1;  // a spoilt answer: seven in a row trip, one in ten among good ones never
+constexpr int kMostProbeDoublings = 10;
+constexpr int kHopelessTimes = 4;       // a call unanswered for so many time-outs will hardly be
+constexpr double kFragileBar = 0.2;     // above this share of failures fragile messages wait
+constexpr int kShutRefusals = 3;        // refusals in a row with no success between: shut, not above a limit
+constexpr double kBudgetUse = 0.9;      // part of the fall-back budget used; limits lie below the capacity
 constexpr double kLeastCapacity = 2.0;  // calls a second that any destination is taken to stand
 constexpr double kMemory_s = 20.0, kLeastKnowing = 0.05;  // own messages a second; share that knows
 constexpr double kLeastTrials = 3.0;      // all senders together try so often in a fall-back window, at least
@@ -94,32 +95,6 @@
 
 enum class Health { Well, Sick, Returning };
 
-// What is learned, told as figures and taken from them again, by one list of names each (each_figure).
-struct Teller {
-    std::map<std::string, double>& figures;
-    Time now;
-    void operator()(const char* name, Time value) {
-        if (value > kLongAgo) figures[name] = seconds(value - now);
-    }
-    template <class Other>
-    void operator()(const char* name, Other value) {
-        figures[name] = static_cast<double>(value);
-    }
-};
-struct Taker {
-    const std::map<std::string, double>& figures;
-    Time now;
-    void operator()(const char* name, Time& value) {
-        if (const auto told = figures.find(name); told != figures.end())
-            value = now + from_seconds(told->second);
-    }
-    template <class Other>
-    void operator()(const char* name, Other& value) {
-        if (const auto told = figures.find(name); told != figures.end())
-            value = static_cast<Other>(told->second);
-    }
-};
-
 // What is shared by all endpoints of a destination, or belongs to one where its routes are apart.
 struct Route {
     Time wait_until{kLongAgo};  // told wait
@@ -389,15 +364,15 @@
     }
 
     void take(const Learned& event, Time now) {
-        Taker taker{event.figures, now};
+        FigureReader reader{event.figures, now};
         if (event.endpoint) {
             const auto found = endpoints_.find(*event.endpoint);
-            if (found != endpoints_.end()) each_figure(found->second, taker);
+            if (found != endpoints_.end()) each_figure(found->second, reader);
         } else if (event.destination) {
             const auto found = destinations_.find(*event.destination);
-            if (found != destinations_.end()) each_figure(found->second, taker);
+            if (found != destinations_.end()) each_figure(found->second, reader);
         } else {
-            taker("usual", overall_usual_);
+            reader("usual", overall_usual_);
         }
     }
 
@@ -405,8 +380,8 @@
         std::vector<Learned> all;
         const auto tell = [&](auto endpoint, auto destination, const auto& what) {
             all.push_back({endpoint, destination, {}});
-            Teller teller{all.back().figures, now};
-            each_figure(what, teller);
+            FigureWriter writer{all.back().figures, now};
+            each_figure(what, writer);
         };
         for (const auto& [id, endpoint] : endpoints_) tell(std::optional(id), std::nullopt, endpoint);
         for (const auto& [id, destination] : destinations_)
@@ -648,22 +623,33 @@
 
     // The first message in arrival order that may be sent, with an endpoint for it. While the backlog is
     // longer than the aim of a held message, the one goes that loses most worth by waiting the backlog out.
+    // An endpoint that fails is probed with a fragile message only where no other message can bring news.
     std::optional<Pick> head(DestinationId id, const Destination& destination, Time now, bool limited) {
         const Time backlog = backlog_of(destination, now);
         std::optional<Pick> best;
         double most = 0.0;
+        bool others_bring_news = false;
         for (const auto& [arrival, message_id] : destination.held) {
             const Message& message = messages_.at(message_id);
-            if (!ready(message_id, message, now)) continue;
+            if (!has_turn(message_id, message, now)) continue;
+            others_bring_news |= message.terms->effect != Effect::Fragile;
+            if (message.not_before > now) continue;
             const double loss =
                 backlog == Time(0) ? 0.0 : worth_of(message, now) - worth_of(message, now + backlog);
             if (best && loss <= most) continue;
-            const auto endpoint = endpoint_for(destination, message, now, limited);
+            const auto endpoint = endpoint_for(destination, message, now, limited, false);
             if (!endpoint) continue;
             best = Pick{id, message_id, *endpoint}, most = loss;
             if (backlog == Time(0)) break;
         }
-        return best;
+        if (best || others_bring_news) return best;
+        for (const auto& [arrival, message_id] : destination.held) {
+            const Message& message = messages_.at(message_id);
+            if (!ready(message_id, message, now)) continue;
+            const auto endpoint = endpoint_for(destination, message, now, limited, true);
+            if (endpoint) return Pick{id, message_id, *endpoint};
+        }
+        return std::nullopt;
     }
     // How long the held messages take to go out, where that is longer than the aim of one of them; else 0.
     Time backlog_of(const Destination& destination, Time now) const {
@@ -678,7 +664,10 @@
 
     // Not out, its pause over, its key's turn, and inside its window if it may have run.
     bool ready(MessageId id, const Message& message, Time now) const {
-        if (message.out > 0 || message.not_before > now || message.deadline <= now) return false;
+        return message.not_before <= now && has_turn(id, message, now);
+    }
+    bool has_turn(MessageId id, const Message& message, Time now) const {
+        if (message.out > 0 || message.deadline <= now) return false;
         if (message.attempts >= settings_.max_attempts) return false;
         if (message.doubt_since && now > resend_until(message)) return false;
         return !message.key || turn_at(id, *message.key) <= now;
@@ -698,13 +687,14 @@
     }
 
     std::optional<EndpointId> endpoint_for(
-        const Destination& destination, const Message& message, Time now, bool limited) {
+        const Destination& destination, const Message& message, Time now, bool limited, bool probing) {
         std::optional<EndpointId> best;
         double least = 0.0;
         for (const EndpointId id : destination.endpoints) {
             Endpoint& endpoint = endpoints_.at(id);
             if (limited && route_of(endpoint).limit_tag > now) continue;
-            if (!open(id, now) || !may_go(message, id) || !has_room(endpoint)) continue;
+            const bool may = may_go(message, id) || (probing && may_probe(message, endpoint, now));
+            if (!may || !open(id, now) || !has_room(endpoint)) continue;
             const double cost = cost_of(endpoint, now);
             if (!best || cost < least) best = id, least = cost;
         }
@@ -736,6 +726,14 @@
         return takes_calls(id, now) && (endpoint.health == Health::Well || endpoint.cold_tag <= now);
     }
 
+    // With a fragile message, which is lost if the endpoint still fails: one at a time, at the pace of the
+    // fall-back budget. Each call that hangs doubles the pause before the next.
+    bool may_probe(const Message& message, const Endpoint& endpoint, Time now) const {
+        if (message.terms->effect != Effect::Fragile) return false;
+        if (endpoint.in_flight == 0) return true;
+        const int doublings = std::min(endpoint.in_flight - 1, kMostProbeDoublings);
+        return now >= endpoint.used + patience(destinations_.at(endpoint.destination)) * (1 << doublings);
+    }
     // Fragile messages keep away from endpoints that fail; dedup resends keep to the scope of the first.
     bool may_go(const Message& message, EndpointId to) const {
         const ClassSettings& kind = *message.terms;
@@ -771,8 +769,8 @@
     }
 
     // A long call stays out while nothing better can be done: it may still be answered, and a repeat costs
-    // the destination its work again. It is dropped where its endpoint answered calls sent later, or where
-    // the sick hold slots that others need; where nearly all slots are taken, also if it may not be repeated.
+    // work. It is dropped where its endpoint answered calls sent later, or where the sick hold slots that
+    // others need; one that may not be repeated only where nearly all are taken or it is hopeless.
     void drop_stuck(Time now) {
         if (!settings_.cancel) return;
         const auto slots = static_cast<double>(settings_.slots), out = static_cast<double>(calls_.size());
@@ -786,10 +784,11 @@
             const Destination& destination = destinations_.at(endpoint.destination);
             const bool passed = jammed && call.overtaken;
             const Time longest = passed ? short_patience(destination) : patience(destination);
-            if (now - call.sent < longest || !(jammed || may_repeat(found->second, call, now))) continue;
+            const Time age = now - call.sent;
+            const bool hopeless = jammed || age >= kHopelessTimes * longest;
+            if (age < longest || !(hopeless || may_repeat(found->second, call, now))) continue;
             const bool lost = endpoint.last_good > call.sent + longest;
-            const bool silent = endpoint.health != Health::Well;
-            if (!passed && !lost && !(silent && scarce)) continue;
+            if (!passed && !lost && !(scarce && endpoint.health != Health::Well)) continue;
             attempt.dropped = true;
             actions_.emplace_back(CancelAttempt{name.first, name.second});
         }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -853,6 +853,127 @@
 }
 
 // Incident i94fd2c: refusals of calls sent together are one piece of news, not a shut destination.
+Settings one_fragile_class() {
+    Settings settings = make_settings();
+    settings.classes = {make_class(Effect::Fragile)};
+    return settings;
+}
+/// Fails every message that is sent to the endpoint for `span`; returns how many were.
+int fail_all(Rig& rig, Outcome outcome, Time span) {
+    int failed = 0;
+    for (const Time end = rig.now + span; rig.now < end; rig.now += ms(10))
+        for (const Send& send : rig.sends()) rig.outcome(send, outcome), ++failed;
+    return failed;
+}
+
+TEST(Probes, AnEndpointThatOnlyFragileMessagesGoToIsFoundToBeBack) {
+    Rig rig(one_fragile_class());
+    rig.list(1, 1);
+    for (MessageId id = 1; id <= 40; ++id) rig.arrive(id, 1, 0, std::nullopt, ms(60'000));
+    const int lost = fail_all(rig, Outcome::ServerError, ms(10'000));
+    EXPECT_GE(lost, 4) << "two to fall sick, then probes";
+    EXPECT_LE(lost, 2 + 10'000 / 250) << "at the pace of probes: at most one in 250 ms";
+    int served = 0;
+    for (const Time end = rig.now + ms(15'000); rig.now < end; rig.now += ms(10))
+        for (const Send& send : rig.sends()) rig.outcome(send, Outcome::Served), ++served;
+    EXPECT_EQ(served + lost, 40);
+}
+
+TEST(Probes, AFragileMessageThatProvablyNeverRanIsProbedWithAgain) {
+    Settings settings = one_fragile_class();
+    settings.max_attempts = 1000;
+    Rig rig(settings);
+    rig.list(1, 1);
+    rig.arrive(1, 1, 0, std::nullopt, ms(60'000));
+    std::uint32_t attempts = 0;
+    for (const Time end = rig.now + ms(12'000); rig.now < end; rig.now += ms(10))
+        for (const Send& send : rig.sends()) rig.outcome(send, Outcome::NoConnection, attempts++);
+    EXPECT_GE(attempts, 6u);
+    const auto again = rig.pass(ms(3000));
+    ASSERT_FALSE(again.empty());
+    rig.outcome(again.front().second, Outcome::Served, attempts);
+    EXPECT_TRUE(rig.sends().empty());
+}
+
+TEST(Probes, AFragileMessageIsNotRiskedWhileAnotherMayBringNews) {
+    Settings settings = make_settings();
+    settings.max_attempts = 1000;
+    Rig rig(settings);
+    rig.list(1, 1);
+    rig.arrive(1, 1, kRetryable, std::nullopt, ms(60'000));
+    rig.arrive(2, 1, kFragile, std::nullopt, ms(60'000));
+    for (std::uint32_t attempt = 0; attempt < 2; ++attempt) {  // found sick by these two
+        rig.now += ms(1000);
+        const auto sends = rig.pass(ms(3000));
+        ASSERT_FALSE(sends.empty());
+        for (const auto& [at, send] : sends)
+            if (send.message == 1) rig.outcome(send, Outcome::ServerError, attempt);
+        if (attempt == 0 && sends.size() > 1) rig.outcome(sends.back().second, Outcome::NoConnection, 0);
+    }
+    std::uint32_t attempt = 2;
+    for (const Time end = rig.now + ms(8000); rig.now < end; rig.now += ms(10))
+        for (const Send& send : rig.sends()) {
+            EXPECT_EQ(send.message, 1u)
+                << "the retryable one pauses after each failure, and goes all the same";
+            rig.outcome(send, Outcome::ServerError, attempt++);
+        }
+    EXPECT_GT(attempt, 4u);
+}
+
+TEST(Probes, OfAnEndpointThatHangsComeEverMoreSeldom) {
+    Rig rig(one_fragile_class());
+    rig.list(1, 1);
+    rig.arrive(1, 1, 0, std::nullopt, ms(200'000));
+    rig.outcome(rig.sends().at(0), Outcome::Served);  // 100 ms is usual
+    rig.arrive(2, 1, 0, std::nullopt, ms(200'000));
+    rig.sends();
+    rig.pass(ms(2000));  // silent: found sick
+    for (MessageId id = 3; id <= 30; ++id) rig.arrive(id, 1, 0, std::nullopt, ms(200'000));
+    std::vector<Time> probes;
+    for (const auto& [at, send] : rig.pass(ms(8000))) probes.push_back(at);  // no answer comes
+    ASSERT_GE(probes.size(), 2u);
+    EXPECT_LE(probes.size(), 4u) << "one that hangs, two of them, four";
+    for (std::size_t i = 2; i < probes.size(); ++i)
+        EXPECT_GT(probes[i] - probes[i - 1], probes[i - 1] - probes[i - 2]);
+}
+
+TEST(Probes, CallsThatHangHopelesslyMakeRoomForProbes) {
+    Rig rig(one_fragile_class());
+    rig.list(1, 1);
+    rig.arrive(1, 1, 0, std::nullopt, ms(200'000));
+    rig.outcome(rig.sends().at(0), Outcome::Served);
+    for (MessageId id = 2; id <= 30; ++id) rig.arrive(id, 1, 0, std::nullopt, ms(200'000));
+    const std::size_t hung = rig.sends().size();
+    EXPECT_GE(hung, 4u) << "half of the slots: no room for another to an endpoint found sick";
+    std::size_t dropped = 0, probes = 0;
+    for (const Time end = rig.now + ms(20'000); rig.now < end; rig.now += ms(10)) {
+        const auto actions = rig.decide();
+        probes += all<Send>(actions).size();
+        for (const CancelAttempt& cancel : all<CancelAttempt>(actions)) {
+            rig.outcome({cancel.message, 1, Time(0), {}}, Outcome::CalledOff);
+            ++dropped;
+        }
+    }
+    EXPECT_GE(dropped, 1u);
+    EXPECT_GE(probes, 2u);
+    const auto late = rig.pass(ms(10'000));
+    EXPECT_FALSE(late.empty()) << "it goes on being probed";
+}
+
+TEST(Probes, ABatchIsNotRiskedAtAnEndpointThatFails) {
+    Rig rig(one_fragile_class());
+    rig.list(1, 1, 2);  // four messages a call
+    for (MessageId id = 1; id <= 40; ++id) rig.arrive(id, 1, 0, std::nullopt, ms(60'000));
+    const auto first = rig.sends();
+    for (const Send& send : first) rig.outcome(send, Outcome::ServerError);
+    std::vector<Send> probe;
+    for (const Time end = rig.now + ms(20'000); rig.now < end && probe.size() != 1; rig.now += ms(10)) {
+        probe = rig.sends();
+        for (const Send& send : probe) rig.outcome(send, Outcome::ServerError);
+    }
+    EXPECT_EQ(probe.size(), 1u) << "a probe carries a single message";
+}
+
 TEST(Health, RefusalsOfCallsSentTogetherAreOnePieceOfNews) {
     Rig rig;
     rig.list(0, 1);
