--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -3,7 +3,6 @@
 // destination's head. All else acts only under the condition that its comment names.
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -11,6 +10,7 @@
 #include <utility>
 
 #include "cometspoke/sender.hpp"
+#include "key_sequencer.hpp"
 #include "learned_figures.hpp"
 
 namespace cometspoke {
@@ -53,10 +53,10 @@
 constexpr double kSpoiltBlend =
     0.1;  // a spoilt answer: seven in a row trip, one in ten among good ones never
 constexpr int kMostProbeDoublings = 10;
-constexpr int kHopelessTimes = 4;       // a call unanswered for so many time-outs will hardly be
-constexpr double kFragileBar = 0.2;     // above this share of failures fragile messages wait
-constexpr int kShutRefusals = 3;        // refusals in a row with no success between: shut, not above a limit
-constexpr double kBudgetUse = 0.9;      // part of the fall-back budget used; limits lie below the capacity
+constexpr double kFragileBar = 0.2;  // above this share of failures fragile messages wait
+constexpr int kShutRefusals = 3;     // refusals in a row with no success between: shut, not above a limit
+constexpr double kBudgetUse = 0.9;   // part of the fall-back budget used; limits lie below the capacity
+constexpr double kGuessUse = 0.75;   // and of a capacity that is guessed from what was served, which varies
 constexpr double kLeastCapacity = 2.0;  // calls a second that any destination is taken to stand
 constexpr double kMemory_s = 20.0, kLeastKnowing = 0.05;  // own messages a second; share that knows
 constexpr double kLeastTrials = 3.0;      // all senders together try so often in a fall-back window, at least
@@ -104,6 +104,7 @@
     int refusals = 0;           // falls since the last success
     double ceiling = 1.0;       // the gain returns fast up to here, just below where it was refused
     Time learned_at{kLongAgo};  // the last change of the gain
+    double gain_before = 0.0, ceiling_before = 1.0;  // as of the last success
 };
 
 struct Endpoint {
@@ -132,6 +133,7 @@
     Route shared;
     std::set<EndpointId> endpoints;
     std::map<std::uint64_t, MessageId> held;  // by arrival; those with an attempt out stay in place
+    std::size_t repeatable = 0;               // of them, those that bring news of an endpoint at little risk
     double weight = 1.0;                      // w: the listed rate, if there is one
     Time reservation_tag{kLongAgo};           // R
     Time share_tag{kLongAgo};                 // P
@@ -140,6 +142,7 @@
     double asked = 0;    // own messages a second, as of the last one
     Time asked_at{kLongAgo};
     double served_rate = 0;  // own successes a second, as of the last one
+    double taken_rate = 0;  // the highest of them in about kStateAge: an outage says nothing of what it takes
     Time first_served{kLongAgo}, last_served{kLongAgo};
 };
 
@@ -179,6 +182,7 @@
     visit("asked", destination.asked);
     visit("asked_at", destination.asked_at);
     visit("served_rate", destination.served_rate);
+    visit("taken_rate", destination.taken_rate);
     visit("first_served", destination.first_served);
     visit("last_served", destination.last_served);
 }
@@ -210,13 +214,6 @@
     bool dropped = false;
 };
 
-struct KeyLine {
-    std::deque<MessageId> turn;
-    int out = 0;  // attempts without an outcome
-    Time rest_until{kLongAgo};
-    MessageId rest_for = 0;  // the message that the rest does not bind
-};
-
 struct Pick {
     DestinationId destination = 0;
     MessageId message = 0;
@@ -295,12 +292,14 @@
         }
         if (kind.sequential && event.key) {
             message.key = event.key;
-            keys_[*event.key].turn.push_back(event.message);
+            keys_.add(*event.key, event.message);
+            if (event.doubt) keys_.rest(*event.key, event.message, now + settings_.settle_after_doubt);
         }
         Destination& destination = destinations_[event.destination];
         const double age = seconds(now - std::exchange(destination.asked_at, now));
         destination.asked = (destination.asked * kMemory_s * std::exp(-age / kMemory_s) + 1.0) / kMemory_s;
         destination.held.emplace(message.arrival, event.message);
+        if (brings_news(message)) ++destination.repeatable;
         messages_.emplace(event.message, message);
         if (active_.emplace(event.destination, &destination).second) activate(destination, now);
     }
@@ -359,7 +358,7 @@
             const auto key = held ? found->second.key : std::nullopt;
             attempts_.emplace(std::pair(id, attempt), Attempt{call_id, key, false});
             if (held) ++found->second.out;
-            if (key) ++keys_[*key].out;
+            if (key) keys_.begin_attempt(*key);
         }
     }
 
@@ -604,7 +603,7 @@
         ++message.attempts;
         ++message.out;
         ++calls_.at(call_id).out;
-        if (message.key) ++keys_[*message.key].out;
+        if (message.key) keys_.begin_attempt(*message.key);
         const bool bound = message.doubt_since && message.terms->effect == Effect::Dedup;
         const auto within = bound ? std::optional(resend_until(message) - now) : std::nullopt;
         actions_.emplace_back(Send{id, to, time_out(message, now), within});
@@ -617,39 +616,28 @@
         for (const auto& [arrival, id] : destination.held) {
             if (calls_.at(call_id).out >= most) return;
             const Message& message = messages_.at(id);
-            if (ready(id, message, now) && may_go(message, to)) send(id, to, call_id, now);
+            if (ready(id, message, now) && may_go(message, to, now)) send(id, to, call_id, now);
         }
     }
 
     // The first message in arrival order that may be sent, with an endpoint for it. While the backlog is
     // longer than the aim of a held message, the one goes that loses most worth by waiting the backlog out.
-    // An endpoint that fails is probed with a fragile message only where no other message can bring news.
     std::optional<Pick> head(DestinationId id, const Destination& destination, Time now, bool limited) {
         const Time backlog = backlog_of(destination, now);
         std::optional<Pick> best;
         double most = 0.0;
-        bool others_bring_news = false;
         for (const auto& [arrival, message_id] : destination.held) {
             const Message& message = messages_.at(message_id);
-            if (!has_turn(message_id, message, now)) continue;
-            others_bring_news |= message.terms->effect != Effect::Fragile;
-            if (message.not_before > now) continue;
+            if (!ready(message_id, message, now)) continue;
             const double loss =
                 backlog == Time(0) ? 0.0 : worth_of(message, now) - worth_of(message, now + backlog);
             if (best && loss <= most) continue;
-            const auto endpoint = endpoint_for(destination, message, now, limited, false);
+            const auto endpoint = endpoint_for(destination, message, now, limited);
             if (!endpoint) continue;
             best = Pick{id, message_id, *endpoint}, most = loss;
             if (backlog == Time(0)) break;
         }
-        if (best || others_bring_news) return best;
-        for (const auto& [arrival, message_id] : destination.held) {
-            const Message& message = messages_.at(message_id);
-            if (!ready(message_id, message, now)) continue;
-            const auto endpoint = endpoint_for(destination, message, now, limited, true);
-            if (endpoint) return Pick{id, message_id, *endpoint};
-        }
-        return std::nullopt;
+        return best;
     }
     // How long the held messages take to go out, where that is longer than the aim of one of them; else 0.
     Time backlog_of(const Destination& destination, Time now) const {
@@ -664,19 +652,10 @@
 
     // Not out, its pause over, its key's turn, and inside its window if it may have run.
     bool ready(MessageId id, const Message& message, Time now) const {
-        return message.not_before <= now && has_turn(id, message, now);
-    }
-    bool has_turn(MessageId id, const Message& message, Time now) const {
-        if (message.out > 0 || message.deadline <= now) return false;
+        if (message.out > 0 || message.not_before > now || message.deadline <= now) return false;
         if (message.attempts >= settings_.max_attempts) return false;
         if (message.doubt_since && now > resend_until(message)) return false;
-        return !message.key || turn_at(id, *message.key) <= now;
-    }
-
-    Time turn_at(MessageId id, std::uint64_t key) const {
-        const KeyLine& line = keys_.at(key);
-        if (line.out > 0 || line.turn.front() != id) return kNever;
-        return line.rest_for == id ? kLongAgo : line.rest_until;
+        return !message.key || keys_.turn_of(*message.key, id, kNever) <= now;
     }
 
     Time resend_until(const Message& message) const {
@@ -687,14 +666,13 @@
     }
 
     std::optional<EndpointId> endpoint_for(
-        const Destination& destination, const Message& message, Time now, bool limited, bool probing) {
+        const Destination& destination, const Message& message, Time now, bool limited) {
         std::optional<EndpointId> best;
         double least = 0.0;
         for (const EndpointId id : destination.endpoints) {
             Endpoint& endpoint = endpoints_.at(id);
             if (limited && route_of(endpoint).limit_tag > now) continue;
-            const bool may = may_go(message, id) || (probing && may_probe(message, endpoint, now));
-            if (!may || !open(id, now) || !has_room(endpoint)) continue;
+            if (!open(id, now) || !may_go(message, id, now) || !has_room(endpoint)) continue;
             const double cost = cost_of(endpoint, now);
             if (!best || cost < least) best = id, least = cost;
         }
@@ -726,21 +704,25 @@
         return takes_calls(id, now) && (endpoint.health == Health::Well || endpoint.cold_tag <= now);
     }
 
-    // With a fragile message, which is lost if the endpoint still fails: one at a time, at the pace of the
-    // fall-back budget. Each call that hangs doubles the pause before the next.
-    bool may_probe(const Message& message, const Endpoint& endpoint, Time now) const {
-        if (message.terms->effect != Effect::Fragile) return false;
+    // One with a key may have to wait for a fragile one before it.
+    static bool brings_news(const Message& message) {
+        return message.terms->effect != Effect::Fragile && !message.key;
+    }
+    // An endpoint that fails is probed with fragile messages only where no other message can bring news: one
+    // at a time, at the pace of the fall-back budget. Each call that hangs doubles the pause before the next.
+    bool may_probe(const Endpoint& endpoint, Time now) const {
+        const Destination& destination = destinations_.at(endpoint.destination);
+        if (destination.repeatable > 0) return false;
         if (endpoint.in_flight == 0) return true;
         const int doublings = std::min(endpoint.in_flight - 1, kMostProbeDoublings);
-        return now >= endpoint.used + patience(destinations_.at(endpoint.destination)) * (1 << doublings);
+        return now >= endpoint.used + patience(destination) * (1 << doublings);
     }
     // Fragile messages keep away from endpoints that fail; dedup resends keep to the scope of the first.
-    bool may_go(const Message& message, EndpointId to) const {
+    bool may_go(const Message& message, EndpointId to, Time now) const {
         const ClassSettings& kind = *message.terms;
         const Endpoint& endpoint = endpoints_.at(to);
-        if (kind.effect == Effect::Fragile &&
-            (endpoint.failing > kFragileBar || endpoint.health == Health::Sick))
-            return false;
+        const bool fails = endpoint.failing > kFragileBar || endpoint.health == Health::Sick;
+        if (kind.effect == Effect::Fragile && fails && !may_probe(endpoint, now)) return false;
         if (kind.effect != Effect::Dedup || !message.doubt_since || kind.dedup_scope == DedupScope::All)
             return true;
         if (kind.dedup_scope == DedupScope::Endpoint) return message.doubt_at == to;
@@ -770,12 +752,16 @@
 
     // A long call stays out while nothing better can be done: it may still be answered, and a repeat costs
     // work. It is dropped where its endpoint answered calls sent later, or where the sick hold slots that
-    // others need; one that may not be repeated only where nearly all are taken or it is hopeless.
+    // others need; one that may not be repeated only where nearly all are taken, or as the oldest of those
+    // that leave a silent endpoint no room for a probe.
     void drop_stuck(Time now) {
         if (!settings_.cancel) return;
         const auto slots = static_cast<double>(settings_.slots), out = static_cast<double>(calls_.size());
         const bool jammed = out > kScarce * slots;
         const bool scarce = jammed || sick_calls() + 1 > kSickShare * slots;
+        std::map<EndpointId, std::pair<std::uint64_t, Time>> oldest_newest;  // calls are numbered by age
+        for (const auto& [id, call] : calls_)
+            oldest_newest.try_emplace(call.endpoint, id, call.sent).first->second.second = call.sent;
         for (auto& [name, attempt] : attempts_) {
             const Call& call = calls_.at(attempt.call);
             const auto found = messages_.find(name.first);
@@ -784,11 +770,13 @@
             const Destination& destination = destinations_.at(endpoint.destination);
             const bool passed = jammed && call.overtaken;
             const Time longest = passed ? short_patience(destination) : patience(destination);
-            const Time age = now - call.sent;
-            const bool hopeless = jammed || age >= kHopelessTimes * longest;
-            if (age < longest || !(hopeless || may_repeat(found->second, call, now))) continue;
+            if (now - call.sent < longest) continue;
+            const auto& [oldest, newest] = oldest_newest.at(call.endpoint);
+            const bool silent = scarce && endpoint.health != Health::Well;
+            const bool for_probe = silent && oldest == attempt.call && now - newest >= longest;
+            if (!jammed && !for_probe && !may_repeat(found->second, call, now)) continue;
             const bool lost = endpoint.last_good > call.sent + longest;
-            if (!passed && !lost && !(scarce && endpoint.health != Health::Well)) continue;
+            if (!passed && !lost && !silent) continue;
             attempt.dropped = true;
             actions_.emplace_back(CancelAttempt{name.first, name.second});
         }
@@ -837,6 +825,9 @@
     }
     double start_gain() const { return std::min(most_gain(), 1.0 + kStartMore / senders()); }
     double most_gain() const { return std::min(senders(), kMostGain); }
+    // Without a known limit it stands for what was served, which must be able to rise, also where one sends.
+    double most_gain(const Route& route) const { return route.known > 0 ? most_gain() : kMostGain; }
+    double steps_base() const { return std::max(2.0, senders()); }
     double regain_time(const Route& route) const { return seconds(kRegain) * std::max(1, route.refusals); }
     // 1/l, or the time in which a lowered l that doubles every kRegain allows one send, up to what it returns
     // to.
@@ -849,7 +840,7 @@
     }
     double capacity(const Route& route, const Destination& destination) const {
         if (route.known > 0) return route.known;
-        return std::max(kLeastCapacity, destination.served_rate * senders());
+        return std::max(kLeastCapacity, destination.taken_rate * senders());
     }
     double others() const { return 1.0 - 1.0 / senders(); }  // share of the senders that are not this one
     double senders() const { return static_cast<double>(settings_.n_instances); }
@@ -875,9 +866,11 @@
                 if (other.endpoint == id && other.sent < sent) other.overtaken = true;
             return succeed(id, report ? report->left : 0.0, rtt, now);
         }
-        if (outcome == Outcome::TurnedAway) lower_limit(route, endpoint, now);
         const bool shut = outcome == Outcome::TurnedAway &&
                           (route.wait_until > now + kLongWait || (report && report->left > kRoomLeft));
+        // what is shut or sick refuses for another reason than its limit
+        if (outcome == Outcome::TurnedAway && !shut && endpoint.health != Health::Sick)
+            lower_limit(route, endpoint, now);
         const bool no_room = outcome == Outcome::NoConnection && now - sent < kSlowConnect;
         if (no_room) endpoint.unconnected_at = now;
         // calls that broke off, then a refused connect: the process died
@@ -889,6 +882,7 @@
             if (sent <= endpoint.refused_at) return;
             endpoint.refused_at = now;
             if (++endpoint.refused_row < kShutRefusals) return;
+            if (outcome == Outcome::TurnedAway) forget_refusals(route, now);
         }
         endpoint.failing += news(endpoint, now) * (1.0 - endpoint.failing);
         endpoint.failure_seen = true;
@@ -916,16 +910,23 @@
     void lower_limit(Route& route, const Endpoint& endpoint, Time now) {
         const Destination& destination = destinations_.at(endpoint.destination);
         regain(route, now);
+        if (route.refusals == 0) route.gain_before = route.gain, route.ceiling_before = route.ceiling;
         const double before = route.gain > 0 ? route.gain : start_gain();
-        const double fall = std::max(kMostFall, std::pow(senders(), kFall * ++route.refusals));
+        const double fall = std::max(kMostFall, std::pow(steps_base(), kFall * ++route.refusals));
         route.ceiling = kBelow * before;
-        route.gain = std::max(std::pow(senders(), kLeastGain), before * fall);
+        route.gain = std::max(std::pow(steps_base(), kLeastGain), before * fall);
         if ((apart(endpoint) ? endpoint.in_flight : destination.in_flight) > 1) return;
         const double spread = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
         const double gap = seconds(limit_gap(route, destination));
         const Time from = senders() > 1 ? std::max(now, route.wait_until) : now;  // all are told the same end
         route.limit_tag = std::max(route.limit_tag, from + from_seconds(spread * gap));
     }
+    // They came of an outage.
+    static void forget_refusals(Route& route, Time now) {
+        if (route.refusals == 0) return;
+        route.gain = route.gain_before, route.ceiling = route.ceiling_before, route.refusals = 0;
+        route.limit_tag = std::min(route.limit_tag, now);
+    }
     void regain(Route& route, Time now) {
         const double since = std::min(100.0, seconds(now - std::exchange(route.learned_at, now)));
         if (route.gain == 0.0) return;
@@ -940,7 +941,7 @@
         Destination& destination = destinations_.at(endpoint.destination);
         Route& route = route_of(endpoint);
         regain(route, now);
-        route.gain = std::min(most_gain(), route.gain * kRise * std::pow(senders(), left * kRiseRoom));
+        route.gain = std::min(most_gain(route), route.gain * kRise * std::pow(senders(), left * kRiseRoom));
         route.refusals = 0;
         if (rtt > Time(0)) {
             blend_usual(destination.usual, seconds(rtt));
@@ -948,6 +949,8 @@
         }
         if (destination.served_rate <= 0) destination.first_served = now;
         destination.served_rate = faded_rate(destination, now) + 1.0 / kServedMemory_s;
+        destination.taken_rate *= std::exp(-seconds(now - destination.last_served) / seconds(kStateAge));
+        destination.taken_rate = std::max(destination.taken_rate, destination.served_rate);
         destination.last_served = now;
         endpoint.failing *= 1.0 - news(endpoint, now);
         endpoint.refused_row = 0;
@@ -998,6 +1001,7 @@
     void spend_budget(Endpoint& endpoint, Time now) {
         const Destination& destination = destinations_.at(endpoint.destination);
         double present = capacity(route_of(endpoint), destination);
+        if (route_of(endpoint).known <= 0) present *= kGuessUse;
         if (!apart(endpoint))
             present /= static_cast<double>(std::max<std::size_t>(1, destination.endpoints.size()));
         const Time from = std::max(endpoint.cold_tag, now);
@@ -1086,18 +1090,11 @@
     }
 
     void settle_key(std::uint64_t key, const OutcomeEvent& event, Time now) {
-        KeyLine& line = keys_.at(key);
-        --line.out;
-        if (event.outcome == Outcome::NoAnswer || event.outcome == Outcome::ConnectionLost ||
-            event.outcome == Outcome::CalledOff) {
-            line.rest_until = std::max(line.rest_until, now + settings_.settle_after_doubt);
-            line.rest_for = event.message;
-        }
-        drop_line(key, now);
-    }
-    void drop_line(std::uint64_t key, Time now) {
-        const KeyLine& line = keys_.at(key);
-        if (line.turn.empty() && line.out == 0 && line.rest_until <= now) keys_.erase(key);
+        const bool may_run_on = event.outcome == Outcome::NoAnswer ||
+                                event.outcome == Outcome::ConnectionLost ||
+                                event.outcome == Outcome::CalledOff;
+        if (may_run_on) keys_.rest(key, event.message, now + settings_.settle_after_doubt);
+        keys_.end_attempt(key, now);
     }
 
     // A message is over when its time is, or when no further attempt is allowed.
@@ -1141,11 +1138,9 @@
         if (found == messages_.end()) return;
         Destination& destination = destinations_[found->second.destination];
         destination.held.erase(found->second.arrival);
+        if (brings_news(found->second)) --destination.repeatable;
         if (destination.held.empty()) active_.erase(found->second.destination);
-        if (const auto key = found->second.key) {
-            std::erase(keys_.at(*key).turn, id);
-            drop_line(*key, now);
-        }
+        if (const auto key = found->second.key) keys_.remove(*key, id, now);
         messages_.erase(found);
     }
 
@@ -1214,8 +1209,9 @@
         for (const auto& [id, message] : messages_) {
             next = std::min(next, ends_at(message));
             if (message.out == 0 && message.not_before > now) next = std::min(next, message.not_before);
-            if (message.out == 0 && message.key && turn_at(id, *message.key) > now)
-                next = std::min(next, turn_at(id, *message.key));
+            if (message.out > 0 || !message.key) continue;
+            if (const Time turn = keys_.turn_of(*message.key, id, kNever); turn > now)
+                next = std::min(next, turn);
         }
         if (calls_.size() < settings_.slots)
             for (const auto& [id, destination] : active_) next = std::min(next, next_due(*destination, now));
@@ -1247,7 +1243,7 @@
     std::map<DestinationId, Destination*> active_;  // those that hold messages
     std::map<EndpointId, Endpoint> endpoints_;
     std::map<MessageId, Message> messages_;
-    std::map<std::uint64_t, KeyLine> keys_;
+    KeySequencer keys_;
     std::map<std::pair<MessageId, std::uint32_t>, Attempt> attempts_;
     std::map<std::uint64_t, Call> calls_;
     std::vector<Time> quota_tags_;   // by tenant
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -62,6 +62,16 @@
         if (letter <= ' ' || letter > '~') throw BadInput("k holds an unprintable character");
 }
 
+/// The first argument of ENQUEUE: up to 16 hex digits. All zeros stand for no key.
+std::optional<std::uint64_t> order_key_of(const std::string& text) {
+    constexpr std::size_t most_digits = 16;
+    if (text.empty() || text.size() > most_digits ||
+        text.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
+        throw BadInput("the order key is not 1 to 16 hex digits");
+    const std::uint64_t key = std::stoull(text, nullptr, 16);
+    return key == 0 ? std::nullopt : std::optional(key);
+}
+
 }  // namespace
 
 Message message_of(const resp::Command& command, const Config& config, Wall now, cometspoke::Time& left) {
@@ -81,6 +91,7 @@
         index_of(config.names.tenants, message.tenant, "tenant");
     }
     message.terms = config.settings.classes[index];
+    if (message.terms->sequential) message.order_key = order_key_of(command[1]);
     const bool keyed = message.terms->effect == cometspoke::Effect::Dedup;
     if (keyed || pairs.contains("k")) message.key = value("k");
     check_key(message.key);
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -421,6 +421,7 @@
 
 /// By the names of this configuration; another process may have taken the message on by those of another one.
 bool Forwarder::name_class(const Message& message, MessageEvent& event) const {
+    event.key = message.order_key;
     const auto tenant = config_.names.tenants.find(message.tenant);
     if (tenant != config_.names.tenants.end()) event.tenant = tenant->second;
     const auto kind = config_.names.classes.find(message.message_class);
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -138,6 +138,7 @@
         writer.number<std::int64_t>(entry.notice->wait.count());
     }
     if (message.terms) write_terms(*message.terms, writer);
+    if (message.terms && message.order_key) writer.number(*message.order_key);
     return writer.bytes();
 }
 /// Of its record, or a little more, without writing it: it is asked for at every change of an entry.
@@ -167,6 +168,7 @@
     entry.out = reader.attempt();
     if (reader.number<std::uint8_t>() != 0) entry.notice = read_notice(reader);
     if (!reader.empty()) message.terms = read_terms(reader);  // earlier versions wrote none
+    if (!reader.empty()) message.order_key = reader.number<std::uint64_t>();
     return entry;
 }
 
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -30,6 +30,8 @@
     std::int64_t destination = 0;
     Wall deadline{};
     std::string body;
+    /// Messages of a sequential class that share it go one at a time, in the order of their arrival.
+    std::optional<std::uint64_t> order_key{};
     /// Its class as it is: a later configuration may not know it, or mean something else by it.
     std::optional<cometspoke::ClassSettings> terms{};
 };
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -62,6 +62,22 @@
     EXPECT_EQ(message.body, "BODY");
 }
 
+TEST(Enqueue, ReadsTheOrderKeyOfASequentialClass) {
+    Json fields = make_config("127.0.0.4:6379", "127.0.0.1:8500");
+    fields["settings"]["classes"][0]["sequential"] = true;
+    const Config config = read_config(fields);
+    const auto order_key = [&config](const std::string& key, const std::string& pairs) {
+        cometspoke::Time left{0};
+        return message_of({"ENQUEUE", key, "9b1f03aa5c7e2d41", pairs, ""}, config, Wall{}, left).order_key;
+    };
+    const std::string in_order = "c=safe,t=acme,d=8000,dest=7";
+    EXPECT_EQ(order_key("0006483caaef320d", in_order), 0x0006483caaef320du);
+    EXPECT_EQ(order_key("0000000000000000", in_order), std::nullopt);
+    EXPECT_EQ(order_key("0006483caaef320d", "c=keyed,t=acme,d=8000,dest=7,k=1"), std::nullopt);
+    for (const char* odd : {"", "xyz", "-1", "00006483caaef320d"})
+        EXPECT_THROW(order_key(odd, in_order), cometspoke::settings::BadInput) << odd;
+}
+
 TEST(Enqueue, RejectsWhatItCannotRead) {
     const Config config = read_config(make_config("127.0.0.4:6379", "127.0.0.1:8500"));
     const auto refused = [&config](const std::string& id, const std::string& pairs) {
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -34,6 +34,20 @@
     return sum;
 }
 
+TEST(Journal, BringsBackTheOrderKey) {
+    TemporaryFolder folder;
+    Message message = make_message(1);
+    message.terms.emplace().sequential = true;
+    message.order_key = 0x6483caaef320d;
+    {
+        Journal journal(folder.path(), kRoom);
+        ASSERT_TRUE(journal.take_on(message));
+    }
+    Journal journal(folder.path(), kRoom);
+    ASSERT_NE(journal.find(1), nullptr);
+    EXPECT_EQ(journal.find(1)->message.order_key, message.order_key);
+}
+
 TEST(Journal, BringsBackWhatIsOwed) {
     TemporaryFolder folder;
     {
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -678,6 +678,20 @@
     EXPECT_EQ(rig.sent(), Ids{2});
 }
 
+TEST(Order, RestsAfterARestartForWhatMayStillRun) {
+    Rig rig;
+    MessageEvent first{1, 1, kSequential, std::nullopt, 42, ms(20000)};
+    first.attempts = 1;
+    first.doubt = MessageEvent::Doubt{ms(600), std::nullopt};
+    rig.list(1, 1);
+    rig.sender.observe(first, rig.now);
+    rig.arrive(2, 1, kSequential, 42);
+    rig.sender.observe(AbandonedEvent{1}, rig.now);  // withdrawn, and it may run on
+    EXPECT_TRUE(rig.sends().empty());
+    rig.now += ms(310);
+    EXPECT_EQ(rig.sent(), (std::vector<MessageId>{2}));
+}
+
 TEST(Order, RestsAfterADoubtfulEnd) {
     Rig rig;
     rig.list(0, 1);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -303,6 +303,46 @@
     EXPECT_TRUE(target.none_within(300ms));
 }
 
+/// Messages of a sequential class, all under one key.
+class InOrder : public NodeTest {
+protected:
+    InOrder() {
+        node.config()["settings"]["classes"][0]["sequential"] = true;
+        node.config()["settings"]["contract"]["settle_after_doubt_ms"] = 300;
+    }
+    std::string enqueue_in_order(Client& client, const std::string& one) {
+        return client.ask(
+            {"ENQUEUE", "0006483caaef320d", one, "c=safe,t=acme,d=30000,k=5c0f6e1a2b3d4c59,dest=7", "BODY"});
+    }
+    const std::string other = "00000000000000aa";
+};
+TEST_F(InOrder, TheSecondWaitsForTheEndOfTheFirst) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue_in_order(client, id), "+OK");
+    const Exchange first = target.next();
+    ASSERT_EQ(enqueue_in_order(client, other), "+OK");
+    ASSERT_EQ(enqueue(client, "00000000000000bb", "keyed"), "+OK");  // is not bound
+    const Exchange unbound = target.next();
+    EXPECT_EQ(unbound.header("X-Call-Id"), "00000000000000bb");
+    first.answer(200);
+    EXPECT_EQ(target.next().header("X-Call-Id"), other);
+}
+TEST_F(InOrder, HoldsOverARestart) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue_in_order(client, id), "+OK");
+    target.next();
+    ASSERT_EQ(enqueue_in_order(client, other), "+OK");
+    node.kill();
+    node.wait();
+    node.start_ready();
+    const Exchange again = target.next();
+    EXPECT_EQ(again.header("X-Call-Id"), id);
+    again.answer(200);
+    EXPECT_EQ(target.next().header("X-Call-Id"), other);
+}
+
 TEST_F(NodeTest, AfterSigkillAKeyedCallGoesAgainOnlyInsideItsWindow) {
     node.config()["settings"]["classes"][1]["window_ms"] = 20000;
     node.start_ready();
