Let the next of a key wait for a notice, and index ends and pauses in place of scans

A log of what each forwarder began showed the next message of a key sent in the turn in which the one before ended by a notice: two connections, and the call came first. The key rests 100 ms after such an end. Ruled out: restarts (turns held in every log). Ends and pauses are indexed by time, aims and doubts counted, and a destination none of whose endpoints is open is not searched for a message.

--- a/src/key_sequencer.hpp
+++ b/src/key_sequencer.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 
 namespace cometspoke {
 
@@ -43,6 +44,7 @@
         Line& line = lines_[key];
         line.rest_until = std::max(line.rest_until, until);
         line.rest_exempt = id;
+        resting_.insert(key);
     }
 
     /// When the message may be sent; `never` while others of its key stand before it or are out.
@@ -54,6 +56,25 @@
         return line.rest_exempt == id ? Time::min() : line.rest_until;
     }
 
+    /// When the next rest ends for which a message waits; `never` where there is none.
+    Time next_turn(Time now, Time never) {
+        Time next = never;
+        std::erase_if(resting_, [&](Key key) {
+            const auto found = lines_.find(key);
+            if (found == lines_.end()) return true;
+            if (found->second.rest_until <= now) {
+                forget_if_idle(found, now);
+                return true;
+            }
+            const Line& line = found->second;
+            const bool waits =
+                line.attempts_out == 0 && !line.waiting.empty() && line.waiting.front() != line.rest_exempt;
+            if (waits) next = std::min(next, line.rest_until);
+            return false;
+        });
+        return next;
+    }
+
 private:
     struct Line {
         std::deque<Id> waiting;
@@ -69,6 +90,7 @@
     }
 
     Lines lines_;
+    std::set<Key> resting_;
 };
 
 }  // namespace cometspoke
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,6 +1,5 @@
 // The decisions of cometspoke (interface: include/cometspoke/sender.hpp). The ordinary path is mClock's tag
-// scheduler: a destination stands for a virtual machine, the slots for the queue depth. R, L, P: tags of a
-// destination's head. All else acts only under the condition that its comment names.
+// scheduler with the tags R, L and P. All else acts only under the condition that its comment names.
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -10,22 +9,22 @@
 #include <utility>
 
 #include "cometspoke/sender.hpp"
+#include "counted_values.hpp"
 #include "key_sequencer.hpp"
 #include "learned_figures.hpp"
+#include "time_index.hpp"
+#include "time_math.hpp"
+#include "validate_settings.hpp"
 
 namespace cometspoke {
 namespace {
 
-constexpr Time kNever{4'000'000'000'000'000'000};  // far from overflow when one is taken from another
-constexpr Time kLongAgo = kNeverSet;
-
 constexpr double kSigma = 1.0;      // idle credit in sends: the design's default
 constexpr double kCapShare = 0.75;  // calls to one destination stay under this share of the slots
 constexpr double kSickShare = 0.5;  // and at most this while it fails or is slow; also all sick ones together
 
-// Learning l, in even parts of the limit. All senders start alike: what they may send together must stay near
-// the limit however many they are. Steps are powers of n, the number of senders: the more they are, the rarer
-// is each one's news.
+// Learning l, in even parts of the limit: what all may send together must stay near it however many they are.
+// Steps are powers of n, the number of senders: the more they are, the rarer is each one's news.
 constexpr double kMostGain = 3.0;     // three even parts at most
 constexpr double kStartMore = 6.0;    // at the start so much more than an even part, over n
 constexpr Time kStartBurst{500'000};  // of the limit that all may send at once at the start
@@ -50,8 +49,7 @@
 constexpr double kRoomLeft = 0.9;        // refused with so much of the limit left: shut too
 constexpr Time kSlowConnect{500'000};    // a connect that fails later found nobody: not an allowance used up
 constexpr double kFailTrip = 0.5;        // most calls failing: an outage
-constexpr double kSpoiltBlend =
-    0.1;  // a spoilt answer: seven in a row trip, one in ten among good ones never
+constexpr double kSpoiltBlend = 0.1;     // a spoilt answer: seven in a row trip
 constexpr int kMostProbeDoublings = 10;
 constexpr double kFragileBar = 0.2;  // above this share of failures fragile messages wait
 constexpr int kShutRefusals = 3;     // refusals in a row with no success between: shut, not above a limit
@@ -72,6 +70,7 @@
 constexpr Time kDropTrip{500'000};        // a drop and the repeat after it need this much of a dedup window
 constexpr Time kRetryGap{50'000};  // pause of a message after an attempt that failed; doubles with each
 constexpr std::uint32_t kPauseDoublings = 4;
+constexpr Time kNoticeTime{100'000};  // until the platform has heard of an end: then the next of its key goes
 constexpr Time kDedupMargin{100'000};   // a resend leaves this much before its window closes
 constexpr Time kSweep{100'000};         // silence is looked for this often while calls are out
 constexpr double kNewConnection = 0.7;  // choosing: a new connection weighs as so many calls in flight
@@ -87,12 +86,6 @@
 constexpr Time kWatchGap{500'000};      // first pause after a failed list call; doubles
 constexpr int kWatchDoublings = 4;
 
-double seconds(Time time) { return static_cast<double>(time.count()) / 1e6; }
-Time from_seconds(double value) {
-    return Time(static_cast<Time::rep>(std::llround(std::min(value, 1e6) * 1e6)));
-}
-Time gap_of(double rate) { return rate > 0 ? from_seconds(1.0 / rate) : Time(0); }
-
 enum class Health { Well, Sick, Returning };
 
 // What is shared by all endpoints of a destination, or belongs to one where its routes are apart.
@@ -132,7 +125,9 @@
 struct Destination {
     Route shared;
     std::set<EndpointId> endpoints;
+    std::size_t named = 0;                    // by so many endpoints, listed or not forgotten yet
     std::map<std::uint64_t, MessageId> held;  // by arrival; those with an attempt out stay in place
+    CountedValues<Time> aims;                 // of them
     std::size_t repeatable = 0;               // of them, those that bring news of an endpoint at little risk
     double weight = 1.0;                      // w: the listed rate, if there is one
     Time reservation_tag{kLongAgo};           // R
@@ -220,10 +215,6 @@
     EndpointId endpoint = 0;
 };
 
-void require(bool good, const char* name) {
-    if (!good) throw std::invalid_argument(std::string("cometspoke settings: ") + name);
-}
-
 }  // namespace
 
 class Sender::Logic {
@@ -233,9 +224,11 @@
         if (settings_.must_subscribe) watch_at_ = kLongAgo;
     }
 
-    // What was learned of endpoints stays: it is not of the settings. A stricter limit on attempts holds at
-    // once.
-    void take(const SettingsEvent& event, Time) { adopt(event.settings); }
+    // What was learned of endpoints stays. A stricter limit on attempts holds at once.
+    void take(const SettingsEvent& event, Time now) {
+        adopt(event.settings);
+        for (const auto& [id, message] : messages_) reindex(id, message, now);
+    }
 
     void take(const ListEvent& event, Time now) {
         for (const ListEntry& entry : event.entries) {
@@ -258,8 +251,7 @@
         for (const ListEntry& entry : event.entries) list(entry, now);
     }
 
-    // Out by hand: nothing new goes there. It is restarted meanwhile, so all senders take it as returning
-    // from an outage that each of them knows of.
+    // Out by hand: nothing new goes there. It is restarted meanwhile: each sender takes it as an outage.
     void take(const BanEvent& event, Time now) {
         const auto found = endpoints_.find(event.endpoint);
         if (event.on) {
@@ -288,18 +280,20 @@
         message.attempts = event.attempts;  // a restart changes nothing in what may have run
         if (event.doubt) {
             message.doubt_since = now - event.doubt->age;
-            message.doubt_at = event.doubt->endpoint;
+            doubt_at(message, event.doubt->endpoint);
         }
         if (kind.sequential && event.key) {
             message.key = event.key;
             keys_.add(*event.key, event.message);
             if (event.doubt) keys_.rest(*event.key, event.message, now + settings_.settle_after_doubt);
         }
-        Destination& destination = destinations_[event.destination];
+        Destination& destination = destination_of(event.destination);
         const double age = seconds(now - std::exchange(destination.asked_at, now));
         destination.asked = (destination.asked * kMemory_s * std::exp(-age / kMemory_s) + 1.0) / kMemory_s;
         destination.held.emplace(message.arrival, event.message);
         if (brings_news(message)) ++destination.repeatable;
+        destination.aims.add(kind.aim);
+        reindex(event.message, message, now);
         messages_.emplace(event.message, message);
         if (active_.emplace(event.destination, &destination).second) activate(destination, now);
     }
@@ -322,7 +316,7 @@
         const Call ended = call;
         if (--call.out == 0) {
             --endpoint.in_flight;
-            --destinations_[endpoint.destination].in_flight;
+            --destinations_.at(endpoint.destination).in_flight;
             const bool lives = event.outcome == Outcome::Served || event.outcome == Outcome::ServerError ||
                                event.outcome == Outcome::TurnedAway || event.outcome == Outcome::Withheld;
             if (lives) endpoint.idle.push_back(now + settings_.conn_idle), freed_.insert(ended.endpoint);
@@ -346,18 +340,18 @@
         if (unlisted) {
             gone_.insert(event.endpoint);
             const auto known = messages_.find(event.attempts.front().first);
-            if (known != messages_.end()) endpoint.destination = known->second.destination;
+            belong(endpoint, known != messages_.end() ? known->second.destination : 0);
         }
         const std::uint64_t call_id = ++call_count_;
         calls_.emplace(call_id, Call{event.endpoint, now - event.age, event.attempts.size()});
         ++endpoint.in_flight;
-        ++destinations_[endpoint.destination].in_flight;
+        ++destinations_.at(endpoint.destination).in_flight;
         for (const auto& [id, attempt] : event.attempts) {
             const auto found = messages_.find(id);  // none where it has ended and its call goes on
             const bool held = found != messages_.end();
             const auto key = held ? found->second.key : std::nullopt;
             attempts_.emplace(std::pair(id, attempt), Attempt{call_id, key, false});
-            if (held) ++found->second.out;
+            if (held) ++found->second.out, reindex(id, found->second, now);
             if (key) keys_.begin_attempt(*key);
         }
     }
@@ -423,27 +417,8 @@
     }
 
 private:
-    static void check(const Settings& settings) {
-        require(settings.slots > 0, "slots");
-        require(settings.most_held > 0, "most_held");
-        require(settings.max_attempts > 0, "max_attempts");
-        require(settings.n_instances > 0, "n_instances");
-        require(!settings.classes.empty(), "classes");
-        require(!settings.zone || *settings.zone < settings.zones, "zone");
-        require(settings.floor_per_s >= 0, "floor_per_s");
-        require(settings.fall_multiple > 0, "fall_multiple");
-        require(settings.cold_from > 0 && settings.cold_from <= 1, "cold_from");
-        for (const auto& [time, name] : {std::pair{settings.conn_idle, "conn_idle"}, {settings.fall, "fall"},
-                 {settings.warm_within, "warm_within"}, {settings.settle_after_doubt, "settle_after_doubt"}})
-            require(time >= Time(0), name);
-        for (const ClassSettings& entry : settings.classes)
-            require(entry.aim >= Time(0) && entry.deadline > Time(0) && entry.window >= Time(0), "classes");
-        for (const KindSettings& entry : settings.kinds) require(entry.per_call > 0, "kinds.per_call");
-        for (const TenantSettings& entry : settings.tenants) require(entry.quota_per_s >= 0, "tenants");
-    }
-
     void adopt(Settings settings) {
-        check(settings);
+        validate(settings);
         if (settings.kinds.empty()) settings.kinds.emplace_back();
         require(settings.kinds.size() >= settings_.kinds.size(), "kinds");
         require(settings.zones >= settings_.zones, "zones");
@@ -456,14 +431,14 @@
     }
 
     void list(const ListEntry& entry, Time now) {
-        Endpoint& endpoint = endpoints_[entry.endpoint];
-        Destination& destination = destinations_[entry.destination];
-        if (Destination& before = destinations_[endpoint.destination]; &before != &destination) {  // or new
-            before.endpoints.erase(entry.endpoint);
-            before.in_flight -= endpoint.in_flight;
+        const auto [place, fresh] = endpoints_.try_emplace(entry.endpoint);
+        Endpoint& endpoint = place->second;
+        Destination& destination = destination_of(entry.destination);
+        if (fresh || endpoint.destination != entry.destination) {
+            if (!fresh) leave(endpoint, entry.endpoint);
             destination.in_flight += endpoint.in_flight;
+            belong(endpoint, entry.destination);
         }
-        endpoint.destination = entry.destination;
         endpoint.zone = entry.zone;
         endpoint.kind = entry.kind;
         endpoint.condition = entry.condition;
@@ -481,32 +456,45 @@
         route.limit_tag = now - kStartBurst + from_seconds(phase / limit(route, destination));
     }
 
-    // Targets come and go for as long as a process lives: what nothing names any more is forgotten. An
-    // endpoint is named by a list, a call or a doubt; a destination by an endpoint, a message or what is
-    // still worth knowing of it.
+    Destination& destination_of(DestinationId id) {
+        const auto [place, fresh] = destinations_.try_emplace(id);
+        if (fresh) unnamed_.insert(id);
+        return place->second;
+    }
+    void belong(Endpoint& endpoint, DestinationId id) {
+        endpoint.destination = id;
+        if (destination_of(id).named++ == 0) unnamed_.erase(id);
+    }
+    void leave(const Endpoint& endpoint, EndpointId id) {
+        Destination& destination = destinations_.at(endpoint.destination);
+        destination.endpoints.erase(id);
+        destination.in_flight -= endpoint.in_flight;
+        if (--destination.named == 0) unnamed_.insert(endpoint.destination);
+    }
+
+    // What nothing names any more is forgotten. An endpoint is named by a list, a call or a doubt; a
+    // destination by an endpoint, a message or what is still worth knowing of it.
     void tidy(Time now) {
         tidy_at_ = now + kTidyGap;
-        std::set<EndpointId> doubted;
-        for (const auto& [id, message] : messages_)
-            if (message.doubt_at) doubted.insert(*message.doubt_at);
         std::erase_if(gone_, [&](EndpointId id) {
             const Endpoint& endpoint = endpoints_.at(id);  // listed again, its wait and its outage hold still
             const Time known = std::max(endpoint.own.wait_until,
                 endpoint.health == Health::Well ? kLongAgo : endpoint.heard + kStateAge);
-            if (endpoint.in_flight > 0 || doubted.contains(id) || known > now) return false;
+            if (endpoint.in_flight > 0 || doubts_.contains(id) || known > now) return false;
+            leave(endpoint, id);
             endpoints_.erase(id);
             banned_.erase(id);
             actions_.emplace_back(Forget{id});
             return true;
         });
-        std::set<DestinationId> named;
-        for (const auto& [id, endpoint] : endpoints_) named.insert(endpoint.destination);
-        std::erase_if(destinations_, [&](const auto& entry) {
-            const auto& [id, destination] = entry;
+        std::erase_if(unnamed_, [&](DestinationId id) {
+            const Destination& destination = destinations_.at(id);
             const Time last = std::max({destination.asked_at, destination.last_served,
                 destination.shared.wait_until, destination.shared.limit_tag});
-            return !named.contains(id) && destination.held.empty() && destination.in_flight == 0 &&
-                   last + kStateAge <= now;
+            if (!destination.held.empty() || destination.in_flight > 0 || last + kStateAge > now)
+                return false;
+            destinations_.erase(id);
+            return true;
         });
     }
 
@@ -572,7 +560,7 @@
     }
 
     void serve(const Pick& pick, Time now) {
-        Destination& destination = destinations_[pick.destination];
+        Destination& destination = destinations_.at(pick.destination);
         Endpoint& endpoint = endpoints_.at(pick.endpoint);
         const std::uint64_t call_id = ++call_count_;
         calls_.emplace(call_id, Call{pick.endpoint, now});
@@ -603,6 +591,7 @@
         ++message.attempts;
         ++message.out;
         ++calls_.at(call_id).out;
+        reindex(id, message, now);
         if (message.key) keys_.begin_attempt(*message.key);
         const bool bound = message.doubt_since && message.terms->effect == Effect::Dedup;
         const auto within = bound ? std::optional(resend_until(message) - now) : std::nullopt;
@@ -623,6 +612,7 @@
     // The first message in arrival order that may be sent, with an endpoint for it. While the backlog is
     // longer than the aim of a held message, the one goes that loses most worth by waiting the backlog out.
     std::optional<Pick> head(DestinationId id, const Destination& destination, Time now, bool limited) {
+        if (!any_open(destination, now, limited)) return std::nullopt;
         const Time backlog = backlog_of(destination, now);
         std::optional<Pick> best;
         double most = 0.0;
@@ -639,12 +629,16 @@
         }
         return best;
     }
+    bool any_open(const Destination& destination, Time now, bool limited) const {
+        return std::any_of(destination.endpoints.begin(), destination.endpoints.end(), [&](EndpointId id) {
+            const Endpoint& endpoint = endpoints_.at(id);
+            return open(id, now) && !(limited && route_of(endpoint).limit_tag > now) && has_room(endpoint);
+        });
+    }
     // How long the held messages take to go out, where that is longer than the aim of one of them; else 0.
     Time backlog_of(const Destination& destination, Time now) const {
         if (destination.served_rate <= 0) return Time(0);  // nothing is known yet: the ordinary path
-        Time shortest = kNever;
-        for (const auto& [arrival, id] : destination.held)
-            shortest = std::min(shortest, messages_.at(id).terms->aim);
+        const Time shortest = destination.aims.least(kNever);
         const double held = static_cast<double>(destination.held.size()) - destination.in_flight;
         const Time backlog = from_seconds(std::max(0.0, held) / drain_rate(destination, now));
         return backlog > shortest ? backlog : Time(0);
@@ -750,8 +744,7 @@
         return std::min(span, std::max(kLeastPaced, from_seconds(times * overall_usual_)));
     }
 
-    // A long call stays out while nothing better can be done: it may still be answered, and a repeat costs
-    // work. It is dropped where its endpoint answered calls sent later, or where the sick hold slots that
+    // A long call is dropped where its endpoint answered calls sent later, or where the sick hold slots that
     // others need; one that may not be repeated only where nearly all are taken, or as the oldest of those
     // that leave a silent endpoint no room for a probe.
     void drop_stuck(Time now) {
@@ -796,9 +789,8 @@
         if (has_idle(endpoint, now)) return endpoint.idle.pop_back();
         endpoint.idle.clear();
     }
-    // Idle connections count against an endpoint's allowance, and those of many senders fill it: they are
-    // closed where they would seldom be used or connects were refused by one that lives: one that has died
-    // says nothing of allowances. Costs a handshake where traffic is thin.
+    // Idle connections count against an endpoint's allowance: they are closed where they would seldom be used
+    // or connects were refused by one that lives.
     void close_idle(Time now) {
         for (const EndpointId id : std::exchange(freed_, {})) {
             Endpoint& endpoint = endpoints_.at(id);
@@ -996,8 +988,7 @@
     }
 
     // The fall-back budget as a limit tag: own part of multiple x present capacity, which rises evenly from
-    // cold_from after the return, taken as no earlier than the first success or a told opening; before that a
-    // trial may meet it at its coldest. Spread, lest senders that saw the same failure come back together.
+    // cold_from after the first success or a told opening. Spread, lest senders come back together.
     void spend_budget(Endpoint& endpoint, Time now) {
         const Destination& destination = destinations_.at(endpoint.destination);
         double present = capacity(route_of(endpoint), destination);
@@ -1059,23 +1050,21 @@
 
     void settle(const OutcomeEvent& event, const Call& call, Time now) {
         const bool never_ran = event.outcome == Outcome::TurnedAway ||
-                               event.outcome == Outcome::NoConnection || event.outcome == Outcome::NotSent;
+                               event.outcome == Outcome::NoConnection || event.outcome == Outcome::NotSent ||
+                               event.outcome == Outcome::Withheld;
         const auto found = messages_.find(event.message);
         if (found == messages_.end()) return;
         Message& message = found->second;
         --message.out;
         if (event.terminal || event.outcome == Outcome::Served) return forget(event.message, now);
-        if (event.outcome == Outcome::Withheld) {
-            --message.attempts;
-            message.not_before = now + kRetryGap;
-            return;
-        }
-        message.not_before = now + pause_after(message, now);
-        if (never_ran) return;
-        if (!message.doubt_since || call.sent < *message.doubt_since) {
+        if (event.outcome == Outcome::Withheld) --message.attempts;
+        message.not_before =
+            now + (event.outcome == Outcome::Withheld ? kRetryGap : pause_after(message, now));
+        if (!never_ran && (!message.doubt_since || call.sent < *message.doubt_since)) {
             message.doubt_since = call.sent;
-            message.doubt_at = call.endpoint;
+            doubt_at(message, call.endpoint);
         }
+        reindex(event.message, message, now);
     }
 
     // Doubling; from half of the allowed attempts on, those left are spread over the time left: otherwise
@@ -1099,10 +1088,17 @@
 
     // A message is over when its time is, or when no further attempt is allowed.
     void end_overdue(Time now) {
-        std::vector<MessageId> over;
-        for (const auto& [id, message] : messages_)
-            if (ends_at(message) <= now) over.push_back(id);
-        for (const MessageId id : over) end(id, now);
+        for (const MessageId id : ends_.due(now)) end(id, now);
+    }
+    void reindex(MessageId id, const Message& message, Time now) {
+        ends_.set(id, ends_at(message));
+        message.out == 0 && message.not_before > now ? pauses_.set(id, message.not_before)
+                                                     : pauses_.erase(id);
+    }
+    void doubt_at(Message& message, std::optional<EndpointId> endpoint) {
+        if (message.doubt_at && --doubts_.at(*message.doubt_at) == 0) doubts_.erase(*message.doubt_at);
+        message.doubt_at = endpoint;
+        if (endpoint) ++doubts_[*endpoint];
     }
     Time ends_at(const Message& message) const {
         if (message.out > 0) return message.deadline;
@@ -1123,6 +1119,7 @@
             actions_.emplace_back(Refuse{id, come_back_in(messages_.at(id), now)});
         else
             actions_.emplace_back(Fail{id});
+        if (const auto key = messages_.at(id).key) keys_.rest(*key, id, now + kNoticeTime);
         forget(id, now);
     }
     // When a client should come again: once the outage or the backlog is likely to be over, and while there
@@ -1136,8 +1133,11 @@
     void forget(MessageId id, Time now) {
         const auto found = messages_.find(id);
         if (found == messages_.end()) return;
-        Destination& destination = destinations_[found->second.destination];
+        Destination& destination = destinations_.at(found->second.destination);
         destination.held.erase(found->second.arrival);
+        destination.aims.remove(found->second.terms->aim);
+        ends_.erase(id), pauses_.erase(id);
+        doubt_at(found->second, std::nullopt);
         if (brings_news(found->second)) --destination.repeatable;
         if (destination.held.empty()) active_.erase(found->second.destination);
         if (const auto key = found->second.key) keys_.remove(*key, id, now);
@@ -1154,8 +1154,7 @@
     }
 
     // Nearly full: of those that may be refused, the one that will be worth least when its turn comes goes,
-    // the latest of equals. What is down thus cannot fill the room of others; its clients come again
-    // meanwhile.
+    // the latest of equals. What is down thus cannot fill the room of others.
     void keep_room(Time now) {
         const auto most =
             static_cast<std::size_t>(static_cast<double>(settings_.most_held) * (1.0 - kRoomKept));
@@ -1206,13 +1205,10 @@
     void set_timer(Time now) {
         Time next = watch_at_;
         if (!calls_.empty()) next = std::min(next, now + paced(kSweep, 1.0));
-        for (const auto& [id, message] : messages_) {
-            next = std::min(next, ends_at(message));
-            if (message.out == 0 && message.not_before > now) next = std::min(next, message.not_before);
-            if (message.out > 0 || !message.key) continue;
-            if (const Time turn = keys_.turn_of(*message.key, id, kNever); turn > now)
-                next = std::min(next, turn);
-        }
+        for (const MessageId id : pauses_.due(now)) pauses_.erase(id);
+        for (const auto& due : {ends_.earliest(), pauses_.earliest()})
+            next = std::min(next, due.value_or(kNever));
+        next = std::min(next, keys_.next_turn(now, kNever));
         if (calls_.size() < settings_.slots)
             for (const auto& [id, destination] : active_) next = std::min(next, next_due(*destination, now));
         if (next == kNever) return;
@@ -1242,7 +1238,10 @@
     std::map<DestinationId, Destination> destinations_;
     std::map<DestinationId, Destination*> active_;  // those that hold messages
     std::map<EndpointId, Endpoint> endpoints_;
+    std::set<DestinationId> unnamed_;  // of which no endpoint is known
     std::map<MessageId, Message> messages_;
+    TimeIndex<MessageId> ends_, pauses_;        // messages by their end and by the end of their pause
+    std::map<EndpointId, std::size_t> doubts_;  // messages that may have run there
     KeySequencer keys_;
     std::map<std::pair<MessageId, std::uint32_t>, Attempt> attempts_;
     std::map<std::uint64_t, Call> calls_;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -678,6 +678,18 @@
     EXPECT_EQ(rig.sent(), Ids{2});
 }
 
+TEST(Order, TheNextWaitsUntilThePlatformHasHeardOfAnEnd) {
+    Rig rig;
+    rig.arrive(1, 1, kSequential, 42, ms(1000));
+    rig.arrive(2, 1, kSequential, 42);
+    rig.now += ms(1000);
+    EXPECT_EQ(all<Fail>(rig.decide()).size(), 1u);
+    rig.list(1, 1);
+    EXPECT_TRUE(rig.sends().empty()) << "the notice of the end and the next call would race";
+    rig.now += ms(110);
+    EXPECT_EQ(rig.sent(), (std::vector<MessageId>{2}));
+}
+
 TEST(Order, RestsAfterARestartForWhatMayStillRun) {
     Rig rig;
     MessageEvent first{1, 1, kSequential, std::nullopt, 42, ms(20000)};
