Take a list of hundreds of thousands of targets, read as it arrives and told in slices

Seen: list_bench, event_loop: a list of 100,000 entries and more was refused for ever ('members is not a list', 20,000 entries), after one turn of the loop of 0.3 s to 0.9 s; a list of 10,000 held the loop up for 41 ms. The limit of 4 MiB on its body did not hold where the header tells a length (Boost 1.74), and a told length of 2^62 ended the watch for good. Rejected: a worker thread for long bodies. It needs locks or copies of all entries, and the whole text in memory; the reader needs neither.

--- a/bench/list_bench.cpp
+++ b/bench/list_bench.cpp
@@ -17,8 +17,8 @@
 #include <thread>
 
 #include "net/directory.hpp"
-#include "net/discovery.hpp"
 #include "net/forwarder.hpp"
+#include "net/target_list.hpp"
 
 namespace lockgw {
 namespace {
@@ -67,7 +67,7 @@
         state.counters["json_heap_bytes_an_entry"] =
             static_cast<double>(heap_bytes() - heap_before) / static_cast<double>(targets);
         try {
-            const TargetList list = list_of(body);
+            const TargetList list = list_of(body, targets);
             state.counters["entries"] = static_cast<double>(list.targets.size());
         } catch (const std::exception& refused) {
             state.SetLabel(refused.what());
--- a/src/net/directory.cpp
+++ b/src/net/directory.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr auto kDestinationMemory = 10min;  // its targets are being replaced, not given up
-constexpr std::size_t kMostTargets = 100'000;
-constexpr std::size_t kMostFormer = 10'000;  // more names of those that have gone are not remembered
+constexpr auto kDestinationMemory = 10min;       // its targets are being replaced, not given up
+constexpr std::size_t kMostTargets = 2'000'000;  // numbers in use; a list's own limit comes long before it
+constexpr std::size_t kMostFormer = 10'000;      // more names of those that have gone are not remembered
 
 }  // namespace
 
@@ -20,8 +20,8 @@
     const auto found = numbers_.find(name);
     if (found != numbers_.end()) return found->second;
     if (entries_.size() >= kMostTargets) throw cometspoke::settings::BadInput("too many targets");
-    entries_.emplace(next_, Entry{name, std::nullopt});
-    numbers_.emplace(name, next_);
+    const auto entry = entries_.emplace_hint(entries_.end(), next_, Entry{name});
+    numbers_.emplace(entry->second.name, next_);
     return next_++;
 }
 
@@ -51,16 +51,41 @@
     if (former_.size() < kMostFormer) former_.insert(name);
 }
 
-void Directory::list(Entry& entry, std::optional<std::int64_t> destination, Clock::time_point now) {
-    const auto before = std::exchange(entry.destination, destination);
-    if (before == destination) return;
-    if (destination) {
-        ++targets_[*destination];
-        deserted_.erase(*destination);
+void Directory::list(Entry& entry, const Target& target) {
+    if (!entry.destination) ++listed_;
+    if (entry.destination != target.destination) {
+        ++targets_[target.destination];
+        deserted_.erase(target.destination);
     }
-    if (before && --targets_.at(*before) == 0) {
-        targets_.erase(*before);
-        deserted_.insert_or_assign(*before, now);
+    entry.destination = target.destination;
+    entry.address = target.address;
+    entry.zone = &*texts_.insert(target.zone).first;
+    entry.kind = &*texts_.insert(target.kind).first;
+    entry.rate = target.rate;
+    entry.condition = target.condition;
+    entry.named_in = comparison_;
+}
+
+void Directory::unlist(Entry& entry, Clock::time_point now) {
+    if (!entry.destination) return;
+    --listed_;
+    leave(*std::exchange(entry.destination, std::nullopt), now);
+}
+
+void Directory::leave(std::int64_t destination, Clock::time_point now) {
+    const auto found = targets_.find(destination);
+    if (--found->second > 0) return;
+    targets_.erase(found);
+    deserted_.insert_or_assign(destination, now);
+    deserted_order_.emplace_back(now, destination);
+}
+
+void Directory::forget_deserted(Clock::time_point now) {
+    while (!deserted_order_.empty() && deserted_order_.front().first + kDestinationMemory <= now) {
+        const auto [since, destination] = deserted_order_.front();
+        deserted_order_.pop_front();
+        const auto found = deserted_.find(destination);
+        if (found != deserted_.end() && found->second == since) deserted_.erase(found);
     }
 }
 
@@ -68,16 +93,71 @@
     std::set<EndpointId> gone;
     if (told.complete)
         for (const auto& [number, entry] : entries_)
-            if (entry.destination) gone.insert(number);
+            if (entry.destination) gone.insert(gone.end(), number);
     for (const Target& target : told.targets) {
         const bool here = target.condition != Condition::Gone;
         if (!here && !numbers_.contains(target.id)) continue;
         const EndpointId number = number_of(target.id);
         here ? gone.erase(number) : gone.insert(number).second;
-        if (here) list(entries_.at(number), target.destination, now);
+        if (!here) continue;
+        Entry& entry = entries_.at(number);
+        const auto before = entry.destination;
+        list(entry, target);
+        if (before && before != target.destination) leave(*before, now);
+    }
+    for (const EndpointId number : gone) unlist(entries_.at(number), now);
+    forget_deserted(now);
+    return gone;
+}
+
+Target Directory::target_of(const Entry& entry) {
+    Target target;
+    target.id = entry.name;
+    target.address = entry.address;
+    target.zone = *entry.zone;
+    target.kind = *entry.kind;
+    target.destination = *entry.destination;
+    target.rate = entry.rate;
+    target.condition = entry.condition;
+    return target;
+}
+
+std::optional<Target> Directory::target_of(const std::string& name) const {
+    const auto found = numbers_.find(name);
+    if (found == numbers_.end()) return std::nullopt;
+    const Entry& entry = entries_.at(found->second);
+    return entry.destination ? std::optional(target_of(entry)) : std::nullopt;
+}
+
+std::vector<Target> Directory::targets() const {
+    std::vector<Target> all;
+    for (const auto& [number, entry] : entries_)
+        if (entry.destination) all.push_back(target_of(entry));
+    return all;
+}
+
+bool Directory::compare(const Target& target) {
+    const auto found = numbers_.find(target.id);
+    const bool gone = target.condition == Condition::Gone;
+    if (found == numbers_.end()) return gone;
+    Entry& entry = entries_.at(found->second);
+    entry.named_in = comparison_;
+    if (!entry.destination || gone) return !entry.destination && gone;
+    return *entry.destination == target.destination && entry.address == target.address &&
+           *entry.zone == target.zone && *entry.kind == target.kind && entry.rate == target.rate &&
+           entry.condition == target.condition;
+}
+
+std::vector<Target> Directory::missing(std::optional<EndpointId>& from, std::size_t count) const {
+    std::vector<Target> gone;
+    auto at = entries_.lower_bound(*from);
+    for (; at != entries_.end() && count > 0; ++at, --count) {
+        if (!at->second.destination || at->second.named_in == comparison_) continue;
+        Target target = target_of(at->second);
+        target.condition = Condition::Gone;
+        gone.push_back(std::move(target));
     }
-    for (const EndpointId number : gone) list(entries_.at(number), std::nullopt, now);
-    std::erase_if(deserted_, [now](const auto& entry) { return entry.second + kDestinationMemory <= now; });
+    from = at == entries_.end() ? std::nullopt : std::optional(at->first);
     return gone;
 }
 
--- a/src/net/directory.hpp
+++ b/src/net/directory.hpp
@@ -3,12 +3,16 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
-#include "discovery.hpp"
+#include "target_list.hpp"
 
 namespace lockgw {
 
@@ -29,25 +33,55 @@
 
     /// Takes what discovery tells; returns the numbers of those that are no longer listed.
     std::set<cometspoke::EndpointId> listed(const TargetList& told, Clock::time_point now);
+    /// How many are listed.
+    std::size_t size() const { return listed_; }
+    /// As it is listed; none where it is not.
+    std::optional<Target> target_of(const std::string& name) const;
+    /// All that are listed.
+    std::vector<Target> targets() const;
+
+    /// A list begins to arrive that has not been told yet.
+    void begin_comparison() { ++comparison_; }
+    /// Whether an entry of that list says what is listed already.
+    bool compare(const Target& target);
+    /// Targets that are listed and that it has not named, looked for among `count` numbers from `from` on, as
+    /// gone. `from` moves on, and is none once all numbers have been looked at.
+    std::vector<Target> missing(std::optional<cometspoke::EndpointId>& from, std::size_t count) const;
+
     /// Whether a message for it makes sense: it has targets, or had some not long ago.
     bool has(std::int64_t destination, Clock::time_point now) const;
     /// No list has named any target so far.
     bool blank() const { return targets_.empty() && deserted_.empty(); }
 
 private:
+    /// Short: there may be hundreds of thousands.
     struct Entry {
         std::string name;
-        std::optional<std::int64_t> destination;  // while it is listed
+        std::optional<std::int64_t> destination{};  // while it is listed
+        Tcp::endpoint address{};
+        const std::string* zone = nullptr;  // one of texts_
+        const std::string* kind = nullptr;
+        double rate = 0.0;
+        cometspoke::Condition condition = cometspoke::Condition::Gone;
+        std::uint32_t named_in = 0;  // the last comparison that named it
     };
 
-    void list(Entry& entry, std::optional<std::int64_t> destination, Clock::time_point now);
+    void list(Entry& entry, const Target& target);
+    void unlist(Entry& entry, Clock::time_point now);
+    void leave(std::int64_t destination, Clock::time_point now);
+    void forget_deserted(Clock::time_point now);
+    static Target target_of(const Entry& entry);
 
-    std::map<std::string, cometspoke::EndpointId> numbers_;
+    std::map<std::string_view, cometspoke::EndpointId> numbers_;  // by the names in entries_
     std::map<cometspoke::EndpointId, Entry> entries_;
+    std::set<std::string> texts_;   // of zones and kinds: the few that the settings name
     std::set<std::string> former_;  // named by some list, and without a number now
     cometspoke::EndpointId next_ = 0;
+    std::size_t listed_ = 0;
+    std::uint32_t comparison_ = 0;
     std::map<std::int64_t, std::size_t> targets_;         // by destination, of those that have any
     std::map<std::int64_t, Clock::time_point> deserted_;  // when a destination's last target went
+    std::deque<std::pair<Clock::time_point, std::int64_t>> deserted_order_;  // the same, oldest first
 };
 
 }  // namespace lockgw
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -6,18 +6,15 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <iostream>
+#include <limits>
 #include <utility>
 
 namespace lockgw {
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using cometspoke::Condition;
 using namespace std::chrono_literals;
 using cometspoke::settings::BadInput;
-using cometspoke::settings::field;
-using cometspoke::settings::need;
-using cometspoke::settings::value_or;
 
 namespace {
 
@@ -39,49 +36,44 @@
 static_assert(
     Turns::kHold + Turns::kWithin + Turns::kFirstHold + Turns::kFirstWithin + 2 * kLongestAfterSilence <
     kToldAfter);
-constexpr std::uint64_t kMostBody = 4 * 1024 * 1024;
+// Of a body that is read at once, as the protocol allows any; a longer one is a list of very many targets,
+// and is read in pieces as it arrives.
+constexpr std::size_t kMostAtOnce = 64 * 1024;
+// Of a long body in one turn: some hundred entries, about a millisecond.
+constexpr std::size_t kPiece = 16 * 1024;
+// What a long list may take longer than a short one: it may come over a thin line, and be read on a small
+// share of a core.
+constexpr std::uint64_t kLeastBytesPerMs = 256;
+// Where more targets are known than this, also a short list may mean that very many have gone.
+constexpr std::size_t kMostToldAtOnce = 2 * ListUpdate::kSlice;
 constexpr std::size_t kMostForwarders = 100'000;
-constexpr std::size_t kMostTargets = 20'000;
 constexpr std::size_t kMostNotices = 256;  // in one request
 
-Condition condition_of(const std::string& phase) {
-    if (phase == "in_service") return Condition::Ready;
-    return phase == "terminating" ? Condition::Draining : Condition::Gone;
-}
+/// A body that takes memory for what has come, whatever length its header tells.
+struct ArrivedBody {
+    using value_type = std::string;
+    class reader {
+    public:
+        template <bool IsRequest, class Fields>
+        reader(http::header<IsRequest, Fields>&, value_type& body) : body_(body) {}
+        void init(const boost::optional<std::uint64_t>&, beast::error_code& error) { error = {}; }
+        template <class Buffers>
+        std::size_t put(const Buffers& buffers, beast::error_code& error) {
+            const std::size_t before = body_.size();
+            for (const auto buffer : beast::buffers_range_ref(buffers))
+                body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+            error = {};
+            return body_.size() - before;
+        }
+        void finish(beast::error_code& error) { error = {}; }
 
-Target target_of(const Json& member) {
-    Target target;
-    target.id = field<std::string>(member, "id");
-    target.condition = condition_of(field<std::string>(member, "phase"));
-    // that a target goes must be heeded even where its address makes no sense any more
-    if (target.condition == Condition::Ready)
-        target.address = tcp_endpoint(field<std::string>(member, "host_port"), "host_port");
-    target.zone = value_or<std::string>(member, "locality", "");
-    target.kind = value_or<std::string>(member, "flavor", "");
-    target.destination = field<std::int64_t>(member, "cell");
-    target.rate = value_or(member, "size", 0.0);
-    return target;
-}
+    private:
+        value_type& body_;
+    };
+};
 
 }  // namespace
 
-TargetList list_of(const Json& body) {
-    TargetList list;
-    list.revision = field<std::int64_t>(body, "revision");
-    list.complete = field<bool>(body, "complete");
-    const Json& members = need(body, "members");
-    if (!members.is_array() || members.size() > kMostTargets) throw BadInput("members is not a list");
-    for (const Json& member : members) try {
-            list.targets.push_back(target_of(member));
-        } catch (const std::exception& bad) {
-            std::cerr << "discovery: passed over an entry: " << bad.what() << '\n';
-            list.all_read = false;
-            if (!member.is_object() || !member.contains("id") || !member["id"].is_string()) continue;
-            list.targets.emplace_back().id = member["id"].get<std::string>();
-        }
-    return list;
-}
-
 /// A kept-alive connection to the agent, one request at a time; it is made anew after any failure.
 ///
 /// Its handlers hold it, and pass over what an earlier request left behind: it may be given up at any moment.
@@ -90,25 +82,31 @@
     auto guarded(Next next) {
         return [self = shared_from_this(), stream = stream_, turn = turn_, next](auto failed, auto&&...) {
             if (turn != self->turn_) return;
-            failed ? self->fail(failed) : next(*self);
+            failed ? self->fail(failed.message()) : next(*self);
         };
     }
 
 public:
     /// The answer's status and body; status 0 where there was no answer.
     using Answered = std::function<void(unsigned, std::string)>;
+    /// What has come of a long body of an answer 200, which is then not in what Answered gets. Where it
+    /// throws, the answer is over: status 0, and what was thrown as its body.
+    using Piece = std::function<void(std::string_view)>;
 
     AgentConnection(asio::io_context& io, const Tcp::endpoint& address)
         : io_(io), address_(address), stream_(std::make_shared<beast::tcp_stream>(io)) {}
 
+    /// Without `piece` an answer's body may not be long.
     void ask(http::verb verb, const std::string& path, std::string body, std::chrono::milliseconds within,
-        Answered answered) {
+        Answered answered, Piece piece = nullptr) {
         ++turn_;
         answered_ = std::move(answered);
+        piece_ = std::move(piece);
         request_ = {verb, path, 11, std::move(body)};
         request_.set(http::field::host, "discovery");
         request_.prepare_payload();
-        stream_->expires_after(within);
+        until_ = std::chrono::steady_clock::now() + within;
+        stream_->expires_at(until_);
         if (stream_->socket().is_open()) return write();
         stream_->async_connect(address_, guarded([](AgentConnection& self) { self.write(); }));
     }
@@ -126,17 +124,43 @@
     }
     void read() {
         parser_.emplace();
-        parser_->body_limit(kMostBody);
-        http::async_read(*stream_, buffer_, *parser_, guarded([](AgentConnection& self) { self.answer(); }));
+        parser_->eager(true);
+        // the pieces are counted instead: this limit does not hold where the header tells a length
+        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        in_pieces_ = false;
+        read_some();
+    }
+    void read_some() {
+        http::async_read_some(
+            *stream_, buffer_, *parser_, guarded([](AgentConnection& self) { self.took_some(); }));
+    }
+    void took_some() {
+        if (parser_->get().body().size() > kMostAtOnce && !std::exchange(in_pieces_, true))
+            buffer_.reserve(kPiece);
+        if (in_pieces_ && !took_piece()) return;
+        parser_->is_done() ? answer() : read_some();
+    }
+    bool took_piece() try {
+        if (!piece_ || parser_->get().result() != http::status::ok)
+            throw cometspoke::settings::BadInput("a body of more than 64 KiB");
+        std::string& body = parser_->get().body();
+        const auto more_time = std::chrono::milliseconds(body.size() / kLeastBytesPerMs);
+        stream_->expires_at(until_ += more_time);
+        piece_(body);
+        body.clear();
+        return true;
+    } catch (const std::exception& bad) {
+        fail(bad.what());
+        return false;
     }
     void answer() {
         stream_->expires_never();
         if (!parser_->get().keep_alive() || buffer_.size() > 0) renew();
         std::exchange(answered_, nullptr)(parser_->get().result_int(), std::move(parser_->get().body()));
     }
-    void fail(boost::system::error_code error) {
+    void fail(const std::string& why) {
         renew();
-        std::exchange(answered_, nullptr)(0, error.message());
+        std::exchange(answered_, nullptr)(0, why);
     }
     void renew() {
         stream_->close();
@@ -150,8 +174,11 @@
     std::uint64_t turn_ = 0;  // of the request that is out
     beast::flat_buffer buffer_;
     http::request<http::string_body> request_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<http::response_parser<ArrivedBody>> parser_;
+    std::chrono::steady_clock::time_point until_{};  // the answer is waited for
+    bool in_pieces_ = false;                         // its body is long
     Answered answered_;
+    Piece piece_;
 };
 
 Turns::Turns(std::size_t forwarders, std::uint64_t seed)
@@ -181,9 +208,12 @@
     return span / 2 + any_of(span / 2);
 }
 
-Discovery::Discovery(asio::io_context& io, const Config& config, Told told, Confirmed confirmed)
+Discovery::Discovery(
+    asio::io_context& io, const Config& config, Directory& directory, Told told, Confirmed confirmed)
     : io_(io),
       address_(config.discovery),
+      directory_(directory),
+      limits_(list_limits(config.memory_bytes, config.sockets)),
       told_(std::move(told)),
       confirmed_(std::move(confirmed)),
       turns_(config.settings.n_instances, config.seed),
@@ -214,6 +244,7 @@
 void Discovery::suspend() {
     suspended_ = true;
     leave();
+    refuse();  // whoever goes on asks for the whole list
 }
 void Discovery::resume() {
     suspended_ = false;
@@ -227,30 +258,43 @@
     report_pause_.cancel();
     if (watch_) watch_->give_up();
     if (reports_) reports_->give_up();
+    if (!telling_) refuse();  // no more of it comes
 }
 
 /// Changes alone are asked for wherever a whole list is known: whole ones cost discovery much, and at a start
 /// of many it has to answer them in turn. Renewed as soon as it is answered: a watch that rests for long is a
 /// new one.
 void Discovery::watch() {
+    watch_waits_ = telling_.has_value();  // an answer must not cross what is still told
+    if (watch_waits_) return;
     std::string path = "/v1/servers";
     const auto hold = heard_ ? Turns::kHold : Turns::kFirstHold;
     if (revision_) path += "?from=" + std::to_string(*revision_) + "&hold_ms=" + std::to_string(hold.count());
     const auto within = !revision_ ? Turns::kListWithin
                         : heard_   ? hold + Turns::kWithin
                                    : hold + Turns::kFirstWithin;
-    const auto until = std::chrono::steady_clock::now() + within;
-    watch_->ask(http::verb::get, path, "", within, [this, until](unsigned status, const std::string& body) {
-        heard_ = status == 200 && watched(body);
-        if (heard_) {
-            watch_failures_ = 0;
-            return watch();
-        }
-        if (status != 200) std::cerr << "discovery: no list: " << status << ' ' << body.substr(0, 80) << '\n';
-        ++watch_failures_;
-        const bool silent = std::chrono::steady_clock::now() >= until;
-        watch_after(silent ? turns_.after_silence(watch_failures_) : turns_.after_failure(watch_failures_));
-    });
+    silent_at_ = std::chrono::steady_clock::now() + within;
+    watch_->ask(
+        http::verb::get, path, "", within,
+        [this](unsigned status, const std::string& body) { answered(status, body); },
+        [this](std::string_view piece) { read_piece(piece); });
+}
+
+void Discovery::answered(unsigned status, const std::string& body) {
+    heard_ = status == 200 && (reader_ ? read_to_the_end() : watched(body));
+    if (heard_) {
+        watch_failures_ = 0;
+        return watch();
+    }
+    if (status != 200 && reader_)
+        std::cerr << "discovery: a list refused after " << reader_->entries()
+                  << " entries, the last one stays: " << body << '\n';
+    else if (status != 200)
+        std::cerr << "discovery: no list: " << status << ' ' << body.substr(0, 80) << '\n';
+    refuse();
+    ++watch_failures_;
+    const bool silent = std::chrono::steady_clock::now() >= silent_at_;
+    watch_after(silent ? turns_.after_silence(watch_failures_) : turns_.after_failure(watch_failures_));
 }
 
 void Discovery::watch_after(std::chrono::milliseconds pause) {
@@ -261,9 +305,10 @@
 }
 
 bool Discovery::watched(const std::string& body) try {
-    const TargetList list = list_of(Json::parse(body));
+    const TargetList list = list_of(Json::parse(body), limits_.entries);
     // Changes build on the list that they were asked for; without one they say nothing whole.
     if (!list.complete && !revision_) throw BadInput("changes instead of the whole list");
+    if (list.complete && directory_.size() > kMostToldAtOnce) return update_by(list);
     revision_ = list.revision;
     told_(list);
     return true;
@@ -272,6 +317,66 @@
     return false;
 }
 
+bool Discovery::update_by(const TargetList& list) {
+    update_ = std::make_shared<ListUpdate>(directory_);
+    for (const Target& target : list.targets) update_->take(target);
+    tell({list.revision, list.complete});
+    return true;
+}
+
+void Discovery::read_piece(std::string_view piece) {
+    if (!reader_) {
+        update_ = std::make_shared<ListUpdate>(directory_);
+        reader_.emplace(limits_, [update = update_](Target target) { update->take(std::move(target)); });
+    }
+    reader_->feed(piece);
+}
+
+bool Discovery::read_to_the_end() try {
+    const ListReader::Head head = reader_->finish();
+    if (!head.complete && !revision_) throw BadInput("changes instead of the whole list");
+    reader_.reset();
+    tell(head);
+    return true;
+} catch (const std::exception& bad) {
+    std::cerr << "discovery: an unreadable list: " << bad.what() << '\n';
+    return false;
+}
+
+void Discovery::tell(ListReader::Head head) {
+    update_->finish(head.complete);
+    telling_ = Telling{head, stay_};
+    asio::post(io_, [this] { tell_slice(); });
+}
+
+void Discovery::tell_slice() {
+    if (!telling_) return;
+    if (auto slice = update_->next()) {
+        tell_one(std::move(*slice));
+        return asio::post(io_, [this] { tell_slice(); });
+    }
+    const Telling told = *std::exchange(telling_, std::nullopt);
+    update_.reset();
+    if (told.stay == stay_) revision_ = told.head.revision;
+    if (watch_waits_) watch();
+}
+
+/// A fault in one slice must not keep back the others.
+void Discovery::tell_one(TargetList slice) try {
+    slice.revision = telling_->head.revision;
+    told_(slice);
+} catch (const std::exception& bad) {
+    std::cerr << "discovery: a part of the list is passed over: " << bad.what() << '\n';
+}
+
+/// What has arrived of a long list counts for nothing.
+void Discovery::refuse() {
+    telling_.reset();
+    watch_waits_ = false;
+    reader_.reset();
+    ListUpdate::discard(io_, std::exchange(update_, nullptr));
+}
+
 void Discovery::report(MessageId id, const Notice& notice) {
     notices_.insert_or_assign(id, notice);
     post();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -12,27 +12,11 @@
 
 #include "config.hpp"
 #include "journal.hpp"
+#include "list_reader.hpp"
+#include "list_update.hpp"
 
 namespace lockgw {
 
-struct Target {
-    std::string id;
-    Tcp::endpoint address;
-    std::string zone, kind;
-    std::int64_t destination = 0;
-    double rate = 0.0;
-    cometspoke::Condition condition = cometspoke::Condition::Gone;
-};
-struct TargetList {
-    std::int64_t revision = 0;
-    bool complete = false;
-    std::vector<Target> targets;
-    bool all_read = true;  ///< each entry made sense
-};
-/// Throws BadInput or a JSON error where it is no list. An entry that makes no sense stands for a target that
-/// has gone, as far as its id can be read: its revision counts as told, and it would never be sent again.
-TargetList list_of(const Json& body);
-
 /// When to call discovery, which answers all forwarders of a fleet in turn: those that start, move or fail
 /// together must not call together, and none may call so late that it breaks the rule on drains.
 class Turns {
@@ -69,10 +53,13 @@
 
 class Discovery {
 public:
+    /// A list, or one slice of a long one: what `directory` does not say already, each slice in a turn of its
+    /// own. The directory is brought up to it within the call.
     using Told = std::function<void(const TargetList&)>;
     using Confirmed = std::function<void(MessageId)>;
 
-    Discovery(asio::io_context& io, const Config& config, Told told, Confirmed confirmed);
+    Discovery(
+        asio::io_context& io, const Config& config, Directory& directory, Told told, Confirmed confirmed);
     ~Discovery();
 
     /// `held`: the version of the whole list that is known already, if one is; changes are asked for from
@@ -96,11 +83,21 @@
     void leave();
     void watch();
     void watch_after(std::chrono::milliseconds pause);
+    void answered(unsigned status, const std::string& body);
     bool watched(const std::string& body);
+    void read_piece(std::string_view piece);
+    bool read_to_the_end();
+    bool update_by(const TargetList& list);
+    void tell(ListReader::Head head);
+    void tell_slice();
+    void tell_one(TargetList slice);
+    void refuse();
     void post();
 
     asio::io_context& io_;
     Tcp::endpoint address_;
+    Directory& directory_;
+    ListLimits limits_;
     Told told_;
     Confirmed confirmed_;
     std::optional<std::int64_t> revision_;  // none where no whole list of this agent is known
@@ -110,6 +107,15 @@
     int watch_failures_ = 0, report_failures_ = 0;
     std::uint64_t stay_ = 0;  // with this agent: pauses of an earlier one end in nothing
     bool posting_ = false, suspended_ = false, heard_ = false;
+    std::chrono::steady_clock::time_point silent_at_{};  // when the call that is out has had its time
+    std::optional<ListReader> reader_;                   // of a long list that is arriving
+    std::shared_ptr<ListUpdate> update_;                 // what it changes
+    struct Telling {
+        ListReader::Head head;
+        std::uint64_t stay = 0;  // with the agent that told it
+    };
+    std::optional<Telling> telling_;  // it has arrived, and is told in slices
+    bool watch_waits_ = false;        // for the last of them
     std::map<MessageId, Notice> notices_;
 };
 
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -36,6 +36,10 @@
     return config.sockets - most_target_connections(config) - other_descriptors(config);
 }
 
+std::size_t most_entries(const Config& config) {
+    return list_limits(config.memory_bytes, config.sockets).entries;
+}
+
 /// The module must not count on more calls than there are descriptors for.
 Config within_descriptors(Config config) {
     config.settings.slots = std::min(config.settings.slots, most_target_connections(config));
@@ -114,9 +118,9 @@
           [this](const WaitTold& told) { observe(told); },
           [this](const OutcomeEvent& event) { outcome(event); }),
       discovery_(
-          io, config_,
+          io, config_, directory_,
           [this](const TargetList& told) {
-              whole_list_ = true;  // changes build on one
+              if (!told.more) whole_list_ = true;  // changes build on one
               list(told, told.complete ? ListKind::Full : ListKind::Changes);
           },
           [this](MessageId id) {
@@ -169,7 +173,7 @@
     role_ = Role::Owner;
     std::optional<std::int64_t> held;
     try {
-        const TargetList known = list_of(config_.known);
+        const TargetList known = list_of(config_.known, most_entries(config_));
         list(known, ListKind::Cached);
         // an entry that could not be read is not known: then the whole list is asked for
         if (known.complete && known.all_read) held = known.revision;
@@ -197,7 +201,7 @@
     guarded([&] {
         for (const Json& name : offer.at("former")) directory_.remember(name.get<std::string>());
         whole_list_ = offer.at("whole").get<bool>();
-        list(list_of(offer.at("list")), ListKind::Cached);
+        list(list_of(offer.at("list"), most_entries(config_)), ListKind::Cached);
     });
     take_up(attempts);
     guarded([&] { learn(offer.at("learned")); });
@@ -283,14 +287,18 @@
     role_ = Role::Offered;
     clients_.pause();
     discovery_.suspend();
-    Json members = Json::array();
-    for (const auto& [name, target] : listed_) members.push_back(member_of(target));
     offer_ = {{"former", directory_.former()}, {"whole", whole_list_},
-        {"list", {{"revision", 0}, {"complete", true}, {"members", members}}}, {"learned", learned()},
+        {"list", {{"revision", 0}, {"complete", true}, {"members", members()}}}, {"learned", learned()},
         {"calls", calls_out()}, {"drained", drained_}};
     return offer_;
 }
 
+Json Forwarder::members() const {
+    Json all = Json::array();
+    for (const Target& target : directory_.targets()) all.push_back(member_of(target));
+    return all;
+}
+
 void Forwarder::let_go() {
     journal_.reset();
     discovery_.forget_notices();
@@ -470,18 +478,12 @@
             target.condition = Condition::Gone;
         }
         if (target.condition != Condition::Gone) continue;
-        Target gone;  // what else the entry says may make no sense here
-        if (const auto before = listed_.find(target.id); before != listed_.end()) gone = before->second;
+        // what else the entry says may make no sense here
+        Target gone = directory_.target_of(target.id).value_or(Target());
         gone.id = target.id;
         gone.condition = Condition::Gone;
         target = std::move(gone);
     }
-    if (told.complete) listed_.clear();
-    for (const Target& target : told.targets)
-        if (target.condition == Condition::Gone)
-            listed_.erase(target.id);
-        else
-            listed_.insert_or_assign(target.id, target);
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
     for (const EndpointId endpoint : gone) targets_.forget(endpoint);
     ListEvent event;
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -50,6 +50,7 @@
     Handover::Steps handover_steps();
     void own(const std::optional<Json>& offer);
     Json offer();
+    Json members() const;
     void let_go();
     void released();
     void take_back(bool offered);
@@ -112,7 +113,6 @@
     asio::steady_timer timer_, send_off_, finish_step_, finish_end_, held_pause_, linger_;
     Role role_ = Role::Waiting;
     bool failed_ = false, reload_due_ = false, lingered_ = false;
-    std::map<std::string, Target> listed_;            // as last told, for another process
     Json offer_;                                      // what was handed over last: it may come back
     std::vector<cometspoke::OutcomeEvent> outcomes_;  // since the offer, told to the owner once there is one
     struct Elsewhere {
