Hand over without the list where it is too long for one note

Seen: with 100,000 targets the offer is over the 16 MiB of a note, the process that claims ends the link, and an upgrade is taken back again and again. What was learned of the endpoints is not handed over either then: learned() tells all of them.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -20,6 +20,9 @@
 constexpr auto kLinger = 10s;            // and for how long, where no signal ends this process
 constexpr std::size_t kLeastOther = 32;  // descriptors beside clients and targets,
 constexpr std::size_t kMostOther = 80;   // those of operators and of a second process among them
+// Targets that are handed over by name: more take longer than the process that takes over waits, and the
+// agent tells them at once.
+constexpr std::size_t kMostHandedOver = 20'000;
 
 Time now() { return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch()); }
 Wall wall_now() { return std::chrono::time_point_cast<Wall::duration>(std::chrono::system_clock::now()); }
@@ -200,8 +203,11 @@
     for (const Targets::Out& call : out) attempts.insert(call.attempts.begin(), call.attempts.end());
     guarded([&] {
         for (const Json& name : offer.at("former")) directory_.remember(name.get<std::string>());
-        whole_list_ = offer.at("whole").get<bool>();
-        list(list_of(offer.at("list"), most_entries(config_)), ListKind::Cached);
+        const bool handed_over = offer.contains("list");
+        if (handed_over) whole_list_ = offer.at("whole").get<bool>();
+        list(handed_over ? list_of(offer["list"], most_entries(config_))
+                         : TargetList{0, true, directory_.targets()},
+            ListKind::Cached);
     });
     take_up(attempts);
     guarded([&] { learn(offer.at("learned")); });
@@ -287,9 +293,10 @@
     role_ = Role::Offered;
     clients_.pause();
     discovery_.suspend();
+    const bool few = directory_.size() <= kMostHandedOver;
     offer_ = {{"former", directory_.former()}, {"whole", whole_list_},
-        {"list", {{"revision", 0}, {"complete", true}, {"members", members()}}}, {"learned", learned()},
-        {"calls", calls_out()}, {"drained", drained_}};
+        {"learned", few ? learned() : Json::array()}, {"calls", calls_out()}, {"drained", drained_}};
+    if (few) offer_["list"] = {{"revision", 0}, {"complete", true}, {"members", members()}};
     return offer_;
 }
 
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -386,5 +386,36 @@
     expect_delivered(id);
 }
 
+// So many are not handed over by name: the process that takes over asks the agent, and until it has answered
+// a destination that is not known here may exist.
+class HugeHandover : public HugeList {
+protected:
+    static bool says_yes(const Tcp::endpoint& management) {
+        const auto until = Clock::now() + kDeadline;
+        while (operate(management, "GET", "/ready") != 200)
+            if (Clock::now() > until) return false;
+        return true;
+    }
+};
+TEST_F(HugeHandover, TheNewOneTakesOverAndAsksForTheList) {
+    constexpr int few = 100'000;
+    const Tcp::endpoint before = Node::other_address(), after = Node::other_address();
+    node.hold_listener();
+    node.config()["management"] = text_of(before);
+    node.start_ready();
+    tell_text(agent_request("/v1/servers?from=1"), huge(2, "in_service", few));
+    agent_request("/v1/servers?from=2");
+    node.start_beside(after);
+    ASSERT_TRUE(says_yes(after)) << node.log();
+    const Exchange first = agent_request("/v1/servers");
+    EXPECT_EQ(first.request.target(), "/v1/servers");
+    Client client = node.client();
+    EXPECT_TRUE(enqueue(client, "00000000000000b1", "safe", 30000, "B", 1000 + few - 1).starts_with("-BUSY"));
+    tell_text(first, huge(2, "in_service", few));
+    const Exchange watch = agent_request("/v1/servers?from=2");
+    EXPECT_EQ(enqueue(client, "00000000000000b2", "safe", 30000, "B", 1000 + few - 1), "+OK");
+    expect_delivered(id);
+}
+
 }  // namespace
 }  // namespace lockgw
