--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <cstring>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <stdexcept>
 #include <utility>
@@ -234,6 +235,8 @@
     std::error_code ignored;
     std::filesystem::remove(folder_ / "journal.new", ignored);  // a compaction that was cut off
     recover();
+    if (in_blocks(size_) > most_)
+        std::cerr << "journal: too large: " << size_ << " bytes in a room of " << most_ << '\n';
     if (compact()) return;
     file_ =
         Descriptor(::open((folder_ / "journal").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC | O_APPEND, 0600));
@@ -248,6 +251,14 @@
         if (!apply(*record)) break;
         size_ += kHeader + record->size();
     }
+    if (size_ < bytes.size())
+        std::cerr << "journal: torn or spoilt from byte " << size_ << " of " << bytes.size() << ": "
+                  << entries_.size() << " messages before it are kept, the rest is dropped\n";
+}
+
+/// One line where it begins, however many records meet it.
+void Journal::say(Fault fault, const std::string& what) {
+    if (std::exchange(told_, fault) != fault) std::cerr << "journal: " << what << '\n';
 }
 
 const Entry* Journal::find(MessageId id) const {
@@ -342,7 +353,11 @@
     Entry entry;
     entry.message = message;
     const auto most_live = static_cast<std::size_t>(kLiveShare * static_cast<double>(most_));
-    if (entries_.contains(message.id) || live_ + cost(entry) > most_live) return false;
+    if (entries_.contains(message.id)) return false;
+    if (live_ + cost(entry) > most_live) {
+        say(Fault::Full, "full: " + std::to_string(entries_.size()) + " messages held, no more are taken on");
+        return false;
+    }
     const std::string record = record_of(entry);
     return append(record) && apply(record);
 }
@@ -392,12 +407,16 @@
     const std::string bytes = framed(record);
     // The file counts as memory, and all of it is read at the next start.
     if (size_ > kLeastCompaction && size_ > kStaleTimes * live_) compact();
-    if ((stale_ || !room_for(bytes.size())) && !compact()) return false;
-    if (!room_for(bytes.size())) return false;
+    if (((stale_ || !room_for(bytes.size())) && !compact()) || !room_for(bytes.size())) {
+        say(Fault::Full, "full: no room for a record beside " + std::to_string(size_) + " bytes");
+        return false;
+    }
     if (write_all(file_.get(), bytes)) {
         size_ += bytes.size();
+        told_ = Fault::None;
         return true;
     }
+    say(Fault::CannotWrite, std::string("cannot be written: ") + std::strerror(errno));
     // Half a record would hide all that is appended behind it.
     stale_ = ::ftruncate(file_.get(), static_cast<off_t>(size_)) != 0;
     return false;
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -107,10 +107,14 @@
     bool ban(const std::string& target, bool on);
 
 private:
+    /// What keeps records out of the file.
+    enum class Fault { None, Full, CannotWrite };
+
     void recover();
     bool apply(std::string_view record);
     bool append(const std::string& record);
     bool compact();
+    void say(Fault fault, const std::string& what);
     void write(const std::string& record);
     bool room_for(std::size_t bytes) const;
     static std::size_t cost(const Entry& entry);
@@ -118,10 +122,11 @@
     void drop_over();
 
     std::filesystem::path folder_;
-    std::size_t most_;      // bytes that both files together may take
-    std::size_t size_ = 0;  // of the file
-    std::size_t live_ = 0;  // at most so much after a compaction
-    bool stale_ = false;    // the file lacks something: it must be written anew before the next record
+    Fault told_ = Fault::None;  // the last one that the log has named, until a record is kept again
+    std::size_t most_;          // bytes that both files together may take
+    std::size_t size_ = 0;      // of the file
+    std::size_t live_ = 0;      // at most so much after a compaction
+    bool stale_ = false;        // the file lacks something: it must be written anew before the next record
     Descriptor file_;
     std::map<MessageId, Entry> entries_;
     std::set<std::string> bans_;
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -227,6 +227,82 @@
     EXPECT_EQ(back.find(1)->attempts, 1u);  // the compaction after the fault brought it
 }
 
+// ---- what keeps it from its work is named in one line of the log ----
+
+std::size_t lines_of(const std::string& log) {
+    return static_cast<std::size_t>(std::count(log.begin(), log.end(), '\n'));
+}
+
+TEST(JournalLog, NamesATornFile) {
+    TemporaryFolder folder;
+    {
+        Journal journal(folder.path(), kRoom);
+        for (const MessageId id : {1, 2}) ASSERT_TRUE(journal.take_on(make_message(id)));
+    }
+    const std::string whole = bytes_of(folder.path() / "journal");
+    write_bytes(folder.path() / "journal", whole.substr(0, whole.size() - 1));
+    ::testing::internal::CaptureStderr();
+    { Journal(folder.path(), kRoom); }
+    const std::string log = ::testing::internal::GetCapturedStderr();
+    EXPECT_EQ(lines_of(log), 1u) << log;
+    EXPECT_NE(log.find("journal: torn"), std::string::npos) << log;
+    EXPECT_NE(log.find("1 messages"), std::string::npos) << log;
+    ::testing::internal::CaptureStderr();
+    { Journal(folder.path(), kRoom); }  // it has been written anew
+    EXPECT_EQ(::testing::internal::GetCapturedStderr(), "");
+}
+
+// The limit on the disk may have become smaller since it was written.
+TEST(JournalLog, NamesAFileThatIsTooLarge) {
+    constexpr std::size_t small = 16 * 1024;
+    TemporaryFolder folder;
+    {
+        Journal journal(folder.path(), kRoom);
+        for (MessageId id = 1; id <= 40; ++id)
+            ASSERT_TRUE(journal.take_on(make_message(id, std::string(1000, 'b'))));
+    }
+    ::testing::internal::CaptureStderr();
+    {
+        Journal journal(folder.path(), small);
+        EXPECT_EQ(journal.entries().size(), 40u);
+    }
+    const std::string log = ::testing::internal::GetCapturedStderr();
+    EXPECT_EQ(lines_of(log), 1u) << log;
+    EXPECT_NE(log.find("journal: too large"), std::string::npos) << log;
+}
+
+// Once, however many messages are refused; once more where it was over meanwhile.
+TEST(JournalLog, NamesAFullOneOnce) {
+    constexpr std::size_t room = 64 * 1024;
+    TemporaryFolder folder;
+    Journal journal(folder.path(), room);
+    for (int time = 1; time <= 2; ++time) {
+        ::testing::internal::CaptureStderr();
+        for (MessageId id = 1; id <= 200; ++id) journal.take_on(make_message(id, std::string(1000, 'b')));
+        const std::string log = ::testing::internal::GetCapturedStderr();
+        EXPECT_EQ(lines_of(log), 1u) << log;
+        EXPECT_NE(log.find("journal: full"), std::string::npos) << log;
+        for (MessageId id = 1; id <= 200; ++id) journal.delivered(id);
+    }
+}
+
+TEST(JournalLog, NamesADiskThatCannotBeWritten) {
+    TemporaryFolder folder;
+    Journal journal(folder.path(), kRoom);
+    ASSERT_TRUE(journal.take_on(make_message(1)));
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    getrlimit(RLIMIT_FSIZE, &before);
+    const rlimit full{std::filesystem::file_size(folder.path() / "journal") + 10, before.rlim_max};
+    ::testing::internal::CaptureStderr();
+    setrlimit(RLIMIT_FSIZE, &full);
+    for (const MessageId id : {2, 3, 4}) EXPECT_FALSE(journal.take_on(make_message(id)));
+    setrlimit(RLIMIT_FSIZE, &before);
+    const std::string log = ::testing::internal::GetCapturedStderr();
+    EXPECT_NE(log.find("journal: cannot be written"), std::string::npos) << log;
+    EXPECT_EQ(lines_of(log), 1u) << log;
+}
+
 TEST(Journal, SaysThatAFolderCannotBeUsed) {
     EXPECT_THROW(Journal("/nonexistent/folder", kRoom), std::runtime_error);
 }
