Go on with the log after a line that found the disk full

Seen: in one run of all tests with the log in a file, a line written at the file size limit left std::cerr failed, and four later tests found no line at all; in a run by itself each passed.

--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -197,6 +197,13 @@
     return checksum(bytes) == head[1] ? std::optional(bytes) : std::nullopt;
 }
 
+/// A line that found the disk full must not silence the log from then on: a failed stream writes nothing
+/// more.
+std::ostream& log() {
+    std::cerr.clear();
+    return std::cerr << "journal: ";
+}
+
 bool write_all(int fd, std::string_view bytes) {
     while (!bytes.empty()) {
         const ssize_t wrote = ::write(fd, bytes.data(), bytes.size());
@@ -235,8 +242,7 @@
     std::error_code ignored;
     std::filesystem::remove(folder_ / "journal.new", ignored);  // a compaction that was cut off
     recover();
-    if (in_blocks(size_) > most_)
-        std::cerr << "journal: too large: " << size_ << " bytes in a room of " << most_ << '\n';
+    if (in_blocks(size_) > most_) log() << "too large: " << size_ << " bytes in a room of " << most_ << '\n';
     if (compact()) return;
     file_ =
         Descriptor(::open((folder_ / "journal").c_str(), O_WRONLY | O_CREAT | O_CLOEXEC | O_APPEND, 0600));
@@ -252,13 +258,13 @@
         size_ += kHeader + record->size();
     }
     if (size_ < bytes.size())
-        std::cerr << "journal: torn or spoilt from byte " << size_ << " of " << bytes.size() << ": "
-                  << entries_.size() << " messages before it are kept, the rest is dropped\n";
+        log() << "torn or spoilt from byte " << size_ << " of " << bytes.size() << ": " << entries_.size()
+              << " messages before it are kept, the rest is dropped\n";
 }
 
 /// One line where it begins, however many records meet it.
 void Journal::say(Fault fault, const std::string& what) {
-    if (std::exchange(told_, fault) != fault) std::cerr << "journal: " << what << '\n';
+    if (std::exchange(told_, fault) != fault) log() << what << '\n';
 }
 
 const Entry* Journal::find(MessageId id) const {
