--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -20,6 +20,9 @@
 constexpr auto kLinger = 10s;            // and for how long, where no signal ends this process
 constexpr std::size_t kLeastOther = 32;  // descriptors beside clients and targets,
 constexpr std::size_t kMostOther = 80;   // those of operators and of a second process among them
+// Targets that are handed over by name: more take longer than the process that takes over waits, and the
+// agent tells them at once.
+constexpr std::size_t kMostHandedOver = 20'000;
 
 Time now() { return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch()); }
 Wall wall_now() { return std::chrono::time_point_cast<Wall::duration>(std::chrono::system_clock::now()); }
@@ -36,6 +39,10 @@
     return config.sockets - most_target_connections(config) - other_descriptors(config);
 }
 
+std::size_t most_entries(const Config& config) {
+    return list_limits(config.memory_bytes, config.sockets).entries;
+}
+
 /// The module must not count on more calls than there are descriptors for.
 Config within_descriptors(Config config) {
     config.settings.slots = std::min(config.settings.slots, most_target_connections(config));
@@ -114,9 +121,9 @@
           [this](const WaitTold& told) { observe(told); },
           [this](const OutcomeEvent& event) { outcome(event); }),
       discovery_(
-          io, config_,
+          io, config_, directory_,
           [this](const TargetList& told) {
-              whole_list_ = true;  // changes build on one
+              if (!told.more) whole_list_ = true;  // changes build on one
               list(told, told.complete ? ListKind::Full : ListKind::Changes);
           },
           [this](MessageId id) {
@@ -169,7 +176,7 @@
     role_ = Role::Owner;
     std::optional<std::int64_t> held;
     try {
-        const TargetList known = list_of(config_.known);
+        const TargetList known = list_of(config_.known, most_entries(config_));
         list(known, ListKind::Cached);
         // an entry that could not be read is not known: then the whole list is asked for
         if (known.complete && known.all_read) held = known.revision;
@@ -196,8 +203,11 @@
     for (const Targets::Out& call : out) attempts.insert(call.attempts.begin(), call.attempts.end());
     guarded([&] {
         for (const Json& name : offer.at("former")) directory_.remember(name.get<std::string>());
-        whole_list_ = offer.at("whole").get<bool>();
-        list(list_of(offer.at("list")), ListKind::Cached);
+        const bool handed_over = offer.contains("list");
+        if (handed_over) whole_list_ = offer.at("whole").get<bool>();
+        list(handed_over ? list_of(offer["list"], most_entries(config_))
+                         : TargetList{0, true, directory_.targets()},
+            ListKind::Cached);
     });
     take_up(attempts);
     guarded([&] { learn(offer.at("learned")); });
@@ -283,14 +293,19 @@
     role_ = Role::Offered;
     clients_.pause();
     discovery_.suspend();
-    Json members = Json::array();
-    for (const auto& [name, target] : listed_) members.push_back(member_of(target));
+    const bool few = directory_.size() <= kMostHandedOver;
     offer_ = {{"former", directory_.former()}, {"whole", whole_list_},
-        {"list", {{"revision", 0}, {"complete", true}, {"members", members}}}, {"learned", learned()},
-        {"calls", calls_out()}, {"drained", drained_}};
+        {"learned", few ? learned() : Json::array()}, {"calls", calls_out()}, {"drained", drained_}};
+    if (few) offer_["list"] = {{"revision", 0}, {"complete", true}, {"members", members()}};
     return offer_;
 }
 
+Json Forwarder::members() const {
+    Json all = Json::array();
+    for (const Target& target : directory_.targets()) all.push_back(member_of(target));
+    return all;
+}
+
 void Forwarder::let_go() {
     journal_.reset();
     discovery_.forget_notices();
@@ -471,18 +486,12 @@
             target.condition = Condition::Gone;
         }
         if (target.condition != Condition::Gone) continue;
-        Target gone;  // what else the entry says may make no sense here
-        if (const auto before = listed_.find(target.id); before != listed_.end()) gone = before->second;
+        // what else the entry says may make no sense here
+        Target gone = directory_.target_of(target.id).value_or(Target());
         gone.id = target.id;
         gone.condition = Condition::Gone;
         target = std::move(gone);
     }
-    if (told.complete) listed_.clear();
-    for (const Target& target : told.targets)
-        if (target.condition == Condition::Gone)
-            listed_.erase(target.id);
-        else
-            listed_.insert_or_assign(target.id, target);
     const auto gone = directory_.listed(told, std::chrono::steady_clock::now());
     for (const EndpointId endpoint : gone) targets_.forget(endpoint);
     ListEvent event;
