--- a/bench/hollow_forwarder.cpp
+++ b/bench/hollow_forwarder.cpp
@@ -4,6 +4,25 @@
 
 namespace cometspoke::bench {
 
+MessageCounts& MessageCounts::operator+=(const MessageCounts& other) {
+    offered += other.offered;
+    sent += other.sent;
+    served += other.served;
+    refused += other.refused;
+    failed += other.failed;
+    attempts += other.attempts;
+    attempts_to_down += other.attempts_to_down;
+    ended_twice += other.ended_twice;
+    return *this;
+}
+
+TurnCosts& TurnCosts::operator+=(const TurnCosts& other) {
+    turns += other.turns;
+    total += other.total;
+    worst = std::max(worst, other.worst);
+    return *this;
+}
+
 HollowForwarder::HollowForwarder(Settings settings, std::uint64_t seed, EndpointFarm& farm)
     : sender_(std::move(settings), seed), farm_(farm) {}
 
--- a/bench/hollow_forwarder.hpp
+++ b/bench/hollow_forwarder.hpp
@@ -27,6 +27,8 @@
     std::uint64_t attempts = 0;
     std::uint64_t attempts_to_down = 0;
     std::uint64_t ended_twice = 0;  ///< must stay 0
+
+    MessageCounts& operator+=(const MessageCounts& other);
 };
 
 /// The cost of turns (a batch of observe(), then decide()) on the wall clock.
@@ -34,8 +36,11 @@
     std::uint64_t turns = 0;
     WallTime total{0};
     WallTime worst{0};
+
+    TurnCosts& operator+=(const TurnCosts& other);
 };
 
+/// Not modelled: Probe, CloseIdle, TellPeers, Watch, FetchList, Log and Forget are passed over.
 class HollowForwarder {
 public:
     /// The farm must outlive the forwarder.
--- /dev/null
+++ b/bench/scale_table.cpp
@@ -0,0 +1,219 @@
+/// Prints the results of the bench programs (JSON lines) as plain tables with slopes.
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "scale_series.hpp"
+
+namespace cometspoke::bench {
+namespace {
+
+/// What one case gave.
+struct Result {
+    std::map<std::string, double> figures;
+    std::string error;  ///< or the reason why there are none
+};
+
+/// A case's name in parts: "steady/destinations:1000/held:0".
+struct CaseName {
+    std::string bench;
+    std::vector<std::pair<std::string, double>> arguments;
+};
+
+/// The cases of a bench that differ only in the size along the axis.
+struct Series {
+    std::string label;  ///< bench and the other arguments
+    std::map<double, Result> by_size;
+};
+
+struct Figure {
+    const char* name;     ///< in the JSON lines
+    const char* heading;  ///< with the unit
+};
+
+struct Table {
+    const char* bench;
+    const char* title;
+    const char* axis;  ///< the argument along the columns
+    std::vector<Figure> figures;
+};
+
+const std::vector<Table> kTables{
+    {"list_whole", "Observing the whole list", "destinations",
+        {{"mean_turn_ms", "time, ms"}, {"heap_mb", "heap, MB"},
+            {"bytes_a_destination", "heap, B a destination"}}},
+    {"list_repeated", "The same whole list again", "destinations", {{"mean_turn_ms", "time, ms"}}},
+    {"list_change", "A list of changes (with the tidying turn after it)", "destinations",
+        {{"change_ms", "change, ms"}, {"worst_turn_ms", "worst turn, ms"}}},
+    {"steady", "104 messages a second, 4.3% of endpoints down", "destinations",
+        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms"},
+            {"core_share", "share of a core"}, {"sent", "messages sent"}}},
+    {"steady_held", "104 messages a second, 4.3% of endpoints down, messages held", "held",
+        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms"},
+            {"core_share", "share of a core"}}},
+    {"held_heap", "Heap of held messages", "held",
+        {{"heap_mb", "heap, MB"}, {"bytes_a_message", "heap, B a message"}}},
+    {"one_more", "One more message while messages are held", "held",
+        {{"to_closed_ms", "to a closed destination, ms"}, {"to_well_ms", "to a well one, ms"},
+            {"worst_turn_ms", "worst turn, ms"}}},
+    {"timer_sweep", "A timer while messages are held", "held",
+        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms"}}},
+    {"take_on", "Taking on messages (20,000 unless cut), cost of all turns", "destinations",
+        {{"total_s", "all turns, s"}, {"worst_turn_ms", "worst turn, ms"},
+            {"taken_on", "messages taken on"}}},
+    {"fleet_down", "Fleet, 4.3% of destinations down, 5 s", "forwarders",
+        {{"offered", "offered"}, {"sent", "sent"}, {"served", "served"}, {"served_share", "served share"},
+            {"to_down_per_s", "calls to down endpoints a second"}, {"to_down_in_second_1", "  in second 1"},
+            {"to_down_in_second_3", "  in second 3"}, {"to_down_in_second_5", "  in second 5"},
+            {"most_at_one_in_1s", "most calls at one endpoint in 1 s"}, {"heap_mb", "heap of the fleet, MB"},
+            {"core_share_each", "share of a core each"}, {"ran_s", "ran, s"}}},
+    {"fleet_back", "Fleet, 4.3% of destinations down from 1 s to 5 s, 12 s", "forwarders",
+        {{"offered", "offered"}, {"served", "served"}, {"served_share", "served share"},
+            {"to_down", "calls to down endpoints"},
+            {"most_at_one_in_1s", "most calls at one endpoint in 1 s"},
+            {"most_at_one_in_second_6", "  in the first second back"}, {"ran_s", "ran, s"}}},
+    {"fleet_listed", "Fleet, each destination lists 5 calls a second, all well, 5 s", "forwarders",
+        {{"offered", "offered"}, {"sent", "sent"}, {"served", "served"}, {"served_share", "served share"},
+            {"turned_away", "turned away at endpoints"},
+            {"most_at_one_in_1s", "most calls at one endpoint in 1 s"}, {"ran_s", "ran, s"}}},
+    {"fleet_listed_alone", "One forwarder of a fleet, each destination lists 5 calls a second, 5 s",
+        "forwarders",
+        {{"offered", "offered"}, {"sent", "sent"}, {"served", "served"}, {"sent_share", "sent share"}}},
+};
+
+CaseName parse_name(const std::string& text) {
+    std::istringstream parts(text);
+    CaseName name;
+    std::getline(parts, name.bench, '/');
+    for (std::string part; std::getline(parts, part, '/');) {
+        const std::size_t colon = part.find(':');
+        if (colon == std::string::npos) continue;
+        name.arguments.emplace_back(part.substr(0, colon), std::stod(part.substr(colon + 1)));
+    }
+    return name;
+}
+
+std::string number_text(double value) {
+    char text[32];
+    if (value == static_cast<double>(static_cast<long long>(value)) && value < 1e9)
+        std::snprintf(text, sizeof text, "%lld", static_cast<long long>(value));
+    else
+        std::snprintf(text, sizeof text, "%.4g", value);
+    return text;
+}
+
+Result read_result(const nlohmann::json& line) {
+    Result result;
+    if (line.contains("error")) result.error = line.at("error").get<std::string>();
+    if (line.contains("figures")) result.figures = line.at("figures").get<std::map<std::string, double>>();
+    return result;
+}
+
+/// All series of a bench, by label.
+std::map<std::string, Series> read_series(const std::vector<nlohmann::json>& lines, const Table& table) {
+    std::map<std::string, Series> all;
+    for (const nlohmann::json& line : lines) {
+        const CaseName name = parse_name(line.at("case").get<std::string>());
+        if (name.bench != table.bench) continue;
+        std::string label;
+        double size = 0.0;
+        for (const auto& [argument, value] : name.arguments)
+            if (argument == table.axis)
+                size = value;
+            else
+                label += " " + argument + ":" + number_text(value);
+        Series& series = all[label];
+        series.label = label;
+        series.by_size[size] = read_result(line);
+    }
+    return all;
+}
+
+/// A figure, marked where its case was cut short; or why there is none.
+std::string cell_text(const Result& result, const char* figure) {
+    if (!result.error.empty()) return result.error;
+    const auto found = result.figures.find(figure);
+    if (found == result.figures.end()) return "-";
+    return number_text(found->second) + (result.figures.contains("over_s") ? "*" : "");
+}
+
+std::vector<SeriesPoint> points_of(const Series& series, const char* figure) {
+    std::vector<SeriesPoint> points;
+    for (const auto& [size, result] : series.by_size) {
+        const auto found = result.figures.find(figure);
+        if (found != result.figures.end()) points.push_back({size, found->second});
+    }
+    return points;
+}
+
+void print_row(const std::string& label, const std::vector<std::string>& cells) {
+    std::printf("  %-38s", label.c_str());
+    for (const std::string& cell : cells) std::printf(" %13s", cell.c_str());
+    std::printf("\n");
+}
+
+void print_series(const Series& series, const Table& table) {
+    std::vector<std::string> sizes;
+    for (const auto& [size, result] : series.by_size) sizes.push_back(number_text(size));
+    sizes.insert(sizes.end(), {"slope a unit", "exponent"});
+    print_row(std::string(table.axis) + " ->", sizes);
+    for (const Figure& figure : table.figures) {
+        std::vector<std::string> cells;
+        for (const auto& [size, result] : series.by_size) cells.push_back(cell_text(result, figure.name));
+        const std::optional<Growth> growth = growth_of(points_of(series, figure.name));
+        cells.push_back(growth ? number_text(growth->per_unit) : "-");
+        cells.push_back(growth && growth->exponent ? number_text(*growth->exponent) : "-");
+        print_row(figure.heading, cells);
+    }
+}
+
+void print_table(const std::vector<nlohmann::json>& lines, const Table& table) {
+    const std::map<std::string, Series> all = read_series(lines, table);
+    if (all.empty()) return;
+    std::printf("\n%s (%s)\n", table.title, table.bench);
+    for (const auto& [label, series] : all) {
+        std::printf(" %s\n", label.c_str());
+        print_series(series, table);
+    }
+}
+
+/// The lines of a file; a later line of a case replaces an earlier one.
+std::vector<nlohmann::json> read_lines(const char* path) {
+    std::ifstream file(path);
+    if (!file) throw std::runtime_error(std::string("cannot read ") + path);
+    std::vector<nlohmann::json> lines;
+    for (std::string text; std::getline(file, text);)
+        if (!text.empty()) lines.push_back(nlohmann::json::parse(text));
+    return lines;
+}
+
+}  // namespace
+}  // namespace cometspoke::bench
+
+int main(int count, char** arguments) {
+    using namespace cometspoke::bench;
+    if (count != 2) {
+        std::cerr << "usage: scale_table RESULTS.jsonl\n";
+        return 1;
+    }
+    try {
+        const auto lines = read_lines(arguments[1]);
+        for (const Table& table : kTables) print_table(lines, table);
+        std::printf(
+            "\nSlopes: least squares over the last decade of sizes. Exponent: the same of the logarithms (0 "
+            "flat, 1 "
+            "linear).\n* cut short at its bound of time: the figure is that of the part that ran.\n");
+    } catch (const std::exception& failure) {
+        std::cerr << "scale_table: " << failure.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -3,11 +3,28 @@
 #include <cmath>
 
 namespace cometspoke::bench {
+namespace {
+
+constexpr std::size_t kMostEndpoints = 2;  // of a destination; endpoint ids are its id times this, and on
+
+std::size_t endpoint_count(EndpointsEach each, std::size_t destination) {
+    switch (each) {
+        case EndpointsEach::One:
+            return 1;
+        case EndpointsEach::Two:
+            return 2;
+        case EndpointsEach::OneOrTwo:
+            return 1 + destination % 2;
+    }
+    return 1;
+}
+
+}  // namespace
 
 Settings make_settings(const WorkloadOptions& options) {
     ClassSettings retryable;
     retryable.aim = Time(2'000'000);
-    retryable.deadline = Time(20'000'000);
+    retryable.deadline = kUsualDeadline;
     Settings settings;
     settings.classes = {retryable};
     settings.kinds.resize(1);
@@ -26,40 +43,50 @@
     return settings;
 }
 
+std::vector<EndpointId> endpoints_of(const WorkloadOptions& options, std::size_t destination) {
+    std::vector<EndpointId> endpoints;
+    for (std::size_t i = 0; i < endpoint_count(options.endpoints_each, destination); ++i)
+        endpoints.push_back(static_cast<EndpointId>(destination * kMostEndpoints + i));
+    return endpoints;
+}
+
 ListEvent make_list(const WorkloadOptions& options) {
     ListEvent list;
-    list.entries.reserve(options.destinations * options.endpoints_each);
-    for (std::size_t i = 0; i < options.destinations * options.endpoints_each; ++i) {
-        ListEntry entry;
-        entry.endpoint = static_cast<EndpointId>(i);
-        entry.destination = static_cast<DestinationId>(i / options.endpoints_each);
-        entry.rate = options.listed_rates ? kListedRate : 0.0;
-        list.entries.push_back(entry);
-    }
+    for (std::size_t destination = 0; destination < options.destinations; ++destination)
+        for (const EndpointId endpoint : endpoints_of(options, destination)) {
+            ListEntry entry;
+            entry.endpoint = endpoint;
+            entry.destination = static_cast<DestinationId>(destination);
+            entry.rate = options.listed_rates ? kListedRate : 0.0;
+            list.entries.push_back(entry);
+        }
     return list;
 }
 
 std::vector<EndpointModel> make_endpoints(const WorkloadOptions& options) {
-    std::vector<EndpointModel> models(options.destinations * options.endpoints_each);
-    std::size_t down = 0;
-    for (std::size_t i = 0; i < models.size(); ++i) {
-        if (options.listed_rates) models[i].limit_per_s = kListedRate;
-        if (!is_down(options, i / options.endpoints_each)) continue;
-        models[i].down_from = Time(0);
-        models[i].down_mode = ++down % 2 == 0 ? DownMode::Silent : DownMode::RefusesConnection;
+    EndpointModel usual;
+    usual.limit_per_s = options.listed_rates ? kListedRate : 0.0;
+    std::vector<EndpointModel> models(options.destinations * kMostEndpoints, usual);
+    bool silent = false;
+    for (const DestinationId destination : down_destinations(options.destinations, options.down_share)) {
+        for (const EndpointId endpoint : endpoints_of(options, static_cast<std::size_t>(destination))) {
+            EndpointModel& model = models[endpoint];
+            model.down_from = options.down_from;
+            model.down_until = options.down_until;
+            model.down_mode = silent ? DownMode::Silent : DownMode::RefusesConnection;
+        }
+        silent = !silent;
     }
     return models;
 }
 
-bool is_down(const WorkloadOptions& options, std::size_t destination) {
-    const double before = std::floor(static_cast<double>(destination) * options.down_share);
-    return std::floor(static_cast<double>(destination + 1) * options.down_share) > before;
-}
-
-std::vector<DestinationId> down_destinations(const WorkloadOptions& options) {
+std::vector<DestinationId> down_destinations(std::size_t destinations, double share) {
     std::vector<DestinationId> down;
-    for (std::size_t i = 0; i < options.destinations; ++i)
-        if (is_down(options, i)) down.push_back(static_cast<DestinationId>(i));
+    for (std::size_t i = 0; i < destinations; ++i) {
+        const double before = std::floor(static_cast<double>(i) * share + 0.5);
+        const double after = std::floor(static_cast<double>(i + 1) * share + 0.5);
+        if (after > before) down.push_back(static_cast<DestinationId>(i));
+    }
     return down;
 }
 
