--- a/bench/sender_bench.cpp
+++ b/bench/sender_bench.cpp
@@ -20,7 +20,7 @@
 namespace cometspoke::bench {
 namespace {
 
-constexpr WallTime kBound{5.0};
+constexpr WallTime kBound{3.0};
 constexpr Time kStart{1'000'000};             // of the virtual clock
 constexpr Time kWholeDay{86'400'000'000};     // a told wait or deadline beyond the end of any case
 constexpr Time kSteadySpan{10'000'000};       // virtual time over which steady turns are measured
