--- /dev/null
+++ b/tests/bench_model_test.cpp
@@ -0,0 +1,123 @@
+/// The models of the scale bench: endpoints, forwarders, fleets and the slopes of its table.
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <vector>
+
+#include "endpoint_model.hpp"
+#include "fleet_model.hpp"
+#include "hollow_forwarder.hpp"
+#include "scale_series.hpp"
+#include "workload.hpp"
+
+namespace cometspoke::bench {
+namespace {
+
+constexpr Time kSecond{1'000'000};
+
+TEST(EndpointFarm, TurnsAwayAboveItsLimitInEachSecond) {
+    EndpointModel model;
+    model.limit_per_s = 2.0;
+    EndpointFarm farm({model});
+    EXPECT_EQ(farm.call(0, Time(0), kSecond).outcome, Outcome::Served);
+    EXPECT_EQ(farm.call(0, Time(1), kSecond).outcome, Outcome::Served);
+    const Reply above = farm.call(0, Time(2), kSecond);
+    EXPECT_EQ(above.outcome, Outcome::TurnedAway);
+    ASSERT_TRUE(above.report);
+    EXPECT_EQ(above.report->left, 0.0);
+    EXPECT_EQ(above.report->limit, 2.0);
+    EXPECT_EQ(farm.call(0, kSecond, kSecond).outcome, Outcome::Served);
+    ASSERT_EQ(farm.seconds().size(), 2u);
+    EXPECT_EQ(farm.seconds()[0].calls, 3u);
+    EXPECT_EQ(farm.seconds()[0].turned_away, 1u);
+    EXPECT_EQ(farm.seconds()[0].most_at_one, 3u);
+}
+
+TEST(EndpointFarm, IsDownForATimeAndBack) {
+    EndpointModel model;
+    model.down_from = kSecond;
+    model.down_until = 2 * kSecond;
+    EndpointFarm farm({model});
+    EXPECT_EQ(farm.call(0, Time(0), kSecond).outcome, Outcome::Served);
+    EXPECT_EQ(farm.call(0, kSecond, kSecond).outcome, Outcome::NoConnection);
+    EXPECT_EQ(farm.call(0, 2 * kSecond, kSecond).outcome, Outcome::Served);
+    EXPECT_EQ(farm.seconds()[1].to_down, 1u);
+}
+
+TEST(EndpointFarm, IsSilentUntilTheTimeOut) {
+    EndpointModel model;
+    model.down_from = Time(0);
+    model.down_mode = DownMode::Silent;
+    EndpointFarm farm({model});
+    const Reply reply = farm.call(0, Time(0), kSecond);
+    EXPECT_EQ(reply.outcome, Outcome::NoAnswer);
+    EXPECT_EQ(reply.after, kSecond);
+}
+
+TEST(Workload, DownDestinationsAreTheShareAndSpareTheLast) {
+    for (const std::size_t destinations : {100, 1'000, 10'000, 310'000}) {
+        const auto down = down_destinations(destinations, kDownShare);
+        EXPECT_NEAR(static_cast<double>(down.size()), kDownShare * static_cast<double>(destinations), 1.0);
+        EXPECT_LT(down.back(), static_cast<DestinationId>(destinations) - 1);
+    }
+    EXPECT_EQ(down_destinations(100, 1.0).size(), 100u);
+}
+
+TEST(HollowForwarder, ServesAMessageAndKeepsCount) {
+    WorkloadOptions options;
+    options.destinations = 1;
+    EndpointFarm farm(make_endpoints(options));
+    HollowForwarder forwarder(make_settings(options), 1, farm);
+    forwarder.add(make_list(options));
+    forwarder.add(make_message(1, 0));
+    forwarder.turn(Time(0));
+    EXPECT_EQ(forwarder.counts().sent, 1u);
+    EXPECT_EQ(forwarder.held(), 1u);
+    EXPECT_TRUE(forwarder.adds_up());
+    for (Time now(0); forwarder.held() > 0 && now < kSecond;) {
+        now = forwarder.next_due();
+        forwarder.turn(now);
+    }
+    EXPECT_EQ(forwarder.counts().served, 1u);
+    EXPECT_TRUE(forwarder.adds_up());
+}
+
+TEST(FleetModel, AddsUpWithEndpointsDownAndBack) {
+    FleetOptions options;
+    options.forwarders = options.workload.forwarders = 5;
+    options.workload.destinations = 50;
+    options.workload.down_share = 0.2;
+    options.workload.down_from = kSecond;
+    options.workload.down_until = 2 * kSecond;
+    const FleetReport report = run_fleet(options);
+    EXPECT_TRUE(report.adds_up);
+    EXPECT_GT(report.messages.offered, 0u);
+    EXPECT_EQ(report.messages.offered,
+        report.messages.served + report.messages.refused + report.messages.failed + report.held);
+    EXPECT_EQ(report.seconds[0].to_down, 0u);
+    EXPECT_GT(report.seconds[1].to_down, 0u);
+    EXPECT_EQ(report.seconds[3].to_down, 0u);
+}
+
+TEST(FleetModel, RefusesToGrowBeyondItsHeap) {
+    FleetOptions options;
+    options.forwarders = 100;
+    options.most_heap_bytes = 1'000;
+    EXPECT_THROW(run_fleet(options), FleetTooLarge);
+}
+
+TEST(Growth, IsTakenOverTheLastDecade) {
+    const auto linear = growth_of({{1, 900}, {100, 200}, {1000, 2000}});
+    ASSERT_TRUE(linear);
+    EXPECT_NEAR(linear->per_unit, 2.0, 1e-9);
+    ASSERT_TRUE(linear->exponent);
+    EXPECT_NEAR(*linear->exponent, 1.0, 1e-9);
+    const auto flat = growth_of({{100, 0}, {1000, 0}});
+    ASSERT_TRUE(flat);
+    EXPECT_EQ(flat->per_unit, 0.0);
+    EXPECT_FALSE(flat->exponent);
+    EXPECT_FALSE(growth_of({{1, 5}, {1000, 5}}));
+}
+
+}  // namespace
+}  // namespace cometspoke::bench
