--- a/bench/sender_bench.cpp
+++ b/bench/sender_bench.cpp
@@ -6,6 +6,7 @@
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <random>
 #include <string>
