--- a/bench/fleet_scale.cpp
+++ b/bench/fleet_scale.cpp
@@ -18,8 +18,11 @@
 
 constexpr double kPerDestination = kMessagesPerSecond * kForwarders / kDestinations;  // messages a second
 
+WallTime bound = FleetOptions{}.bound;
+
 FleetOptions options_for(const benchmark::State& state) {
     FleetOptions options;
+    options.bound = bound;
     options.forwarders = static_cast<std::size_t>(state.range(0));
     options.workload.forwarders = options.forwarders;
     options.workload.destinations = static_cast<std::size_t>(state.range(1));
@@ -46,7 +49,8 @@
     state.counters["to_down"] = static_cast<double>(total.to_down);
     state.counters["to_down_per_s"] = per_second(total.to_down, report.ran);
     state.counters["most_at_one_in_1s"] = static_cast<double>(total.most_at_one);
-    for (std::size_t i = 0; i < report.seconds.size(); ++i) {
+    const auto whole_seconds = static_cast<std::size_t>(report.ran / Time(1'000'000));
+    for (std::size_t i = 0; i < std::min(whole_seconds, report.seconds.size()); ++i) {
         const std::string second = std::to_string(i + 1);
         state.counters["to_down_in_second_" + second] = static_cast<double>(report.seconds[i].to_down);
         state.counters["most_at_one_in_second_" + second] =
@@ -133,6 +137,7 @@
 }
 
 void register_cases(const CaseSizes& sizes) {
+    if (sizes.bound_s) bound = WallTime(*sizes.bound_s);
     const bool small = sizes.sizes == Sizes::Small;
     const std::vector<std::int64_t> forwarders =
         small ? std::vector<std::int64_t>{1, 3} : std::vector<std::int64_t>{3, 50, 350, 730};
--- a/bench/json_line_reporter.cpp
+++ b/bench/json_line_reporter.cpp
@@ -47,6 +47,7 @@
 int run_cases(int count, char** arguments, const std::function<void(const CaseSizes&)>& register_cases) {
     constexpr std::string_view kJsonLines = "--json_lines=";
     constexpr std::string_view kDestinations = "--destinations=";
+    constexpr std::string_view kBound = "--bound_s=";
     std::string path;
     CaseSizes sizes;
     std::vector<char*> others;
@@ -58,6 +59,8 @@
             path = argument.substr(kJsonLines.size());
         else if (argument.starts_with(kDestinations))
             sizes.destinations = std::stoll(argument.substr(kDestinations.size()));
+        else if (argument.starts_with(kBound))
+            sizes.bound_s = std::stod(argument.substr(kBound.size()));
         else
             others.push_back(arguments[i]);
     }
--- a/bench/scale_table.cpp
+++ b/bench/scale_table.cpp
@@ -1,14 +1,15 @@
 /// Prints the results of the bench programs (JSON lines) as plain tables with slopes.
-#include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <set>
 #include <sstream>
+#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "scale_series.hpp"
@@ -34,9 +35,17 @@
     std::map<double, Result> by_size;
 };
 
+/// What a figure says of a case that was cut short.
+enum class WhenCut {
+    Mean,     ///< the mean of the part that ran
+    Partial,  ///< a count or maximum of that part, of no use for a slope
+    Total     ///< nothing but that it would have been more
+};
+
 struct Figure {
     const char* name;     ///< in the JSON lines
     const char* heading;  ///< with the unit
+    WhenCut when_cut = WhenCut::Mean;
 };
 
 struct Table {
@@ -52,41 +61,50 @@
             {"bytes_a_destination", "heap, B a destination"}}},
     {"list_repeated", "The same whole list again", "destinations", {{"mean_turn_ms", "time, ms"}}},
     {"list_change", "A list of changes (with the tidying turn after it)", "destinations",
-        {{"change_ms", "change, ms"}, {"worst_turn_ms", "worst turn, ms"}}},
+        {{"change_ms", "change, ms"}, {"worst_turn_ms", "worst turn, ms", WhenCut::Partial}}},
     {"steady", "104 messages a second, 4.3% of endpoints down", "destinations",
-        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms"},
-            {"core_share", "share of a core"}, {"sent", "messages sent"}}},
+        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms", WhenCut::Partial},
+            {"core_share", "share of a core"}, {"sent", "messages sent", WhenCut::Partial}}},
     {"steady_held", "104 messages a second, 4.3% of endpoints down, messages held", "held",
-        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms"},
+        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms", WhenCut::Partial},
             {"core_share", "share of a core"}}},
     {"held_heap", "Heap of held messages", "held",
         {{"heap_mb", "heap, MB"}, {"bytes_a_message", "heap, B a message"}}},
     {"one_more", "One more message while messages are held", "held",
         {{"to_closed_ms", "to a closed destination, ms"}, {"to_well_ms", "to a well one, ms"},
-            {"worst_turn_ms", "worst turn, ms"}}},
+            {"worst_turn_ms", "worst turn, ms", WhenCut::Partial}}},
     {"timer_sweep", "A timer while messages are held", "held",
-        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms"}}},
+        {{"mean_turn_ms", "mean turn, ms"}, {"worst_turn_ms", "worst turn, ms", WhenCut::Partial}}},
     {"take_on", "Taking on messages (20,000 unless cut), cost of all turns", "destinations",
-        {{"total_s", "all turns, s"}, {"worst_turn_ms", "worst turn, ms"},
-            {"taken_on", "messages taken on"}}},
+        {{"total_s", "all turns, s", WhenCut::Total}, {"worst_turn_ms", "worst turn, ms", WhenCut::Partial},
+            {"taken_on", "messages taken on", WhenCut::Partial}}},
     {"fleet_down", "Fleet, 4.3% of destinations down, 5 s", "forwarders",
-        {{"offered", "offered"}, {"sent", "sent"}, {"served", "served"}, {"served_share", "served share"},
-            {"to_down_per_s", "calls to down endpoints a second"}, {"to_down_in_second_1", "  in second 1"},
-            {"to_down_in_second_3", "  in second 3"}, {"to_down_in_second_5", "  in second 5"},
-            {"most_at_one_in_1s", "most calls at one endpoint in 1 s"}, {"heap_mb", "heap of the fleet, MB"},
-            {"core_share_each", "share of a core each"}, {"ran_s", "ran, s"}}},
+        {{"offered", "offered", WhenCut::Partial}, {"sent", "sent", WhenCut::Partial},
+            {"served", "served", WhenCut::Partial}, {"served_share", "served share"},
+            {"attempts", "attempts", WhenCut::Partial}, {"held", "held at the end", WhenCut::Partial},
+            {"to_down_per_s", "calls to down endpoints a second"},
+            {"to_down_in_second_1", "  in second 1", WhenCut::Partial},
+            {"to_down_in_second_3", "  in second 3", WhenCut::Partial},
+            {"to_down_in_second_5", "  in second 5", WhenCut::Partial},
+            {"most_at_one_in_1s", "most calls at one endpoint in 1 s", WhenCut::Partial},
+            {"heap_mb", "heap of the fleet, MB"}, {"core_share_each", "share of a core each"},
+            {"ran_s", "ran, s", WhenCut::Partial}}},
     {"fleet_back", "Fleet, 4.3% of destinations down from 1 s to 5 s, 12 s", "forwarders",
-        {{"offered", "offered"}, {"served", "served"}, {"served_share", "served share"},
-            {"to_down", "calls to down endpoints"},
-            {"most_at_one_in_1s", "most calls at one endpoint in 1 s"},
-            {"most_at_one_in_second_6", "  in the first second back"}, {"ran_s", "ran, s"}}},
+        {{"offered", "offered", WhenCut::Partial}, {"served", "served", WhenCut::Partial},
+            {"served_share", "served share"}, {"to_down", "calls to down endpoints", WhenCut::Partial},
+            {"most_at_one_in_1s", "most calls at one endpoint in 1 s", WhenCut::Partial},
+            {"most_at_one_in_second_6", "  in the first second back", WhenCut::Partial},
+            {"ran_s", "ran, s", WhenCut::Partial}}},
     {"fleet_listed", "Fleet, each destination lists 5 calls a second, all well, 5 s", "forwarders",
-        {{"offered", "offered"}, {"sent", "sent"}, {"served", "served"}, {"served_share", "served share"},
-            {"turned_away", "turned away at endpoints"},
-            {"most_at_one_in_1s", "most calls at one endpoint in 1 s"}, {"ran_s", "ran, s"}}},
+        {{"offered", "offered", WhenCut::Partial}, {"sent", "sent", WhenCut::Partial},
+            {"served", "served", WhenCut::Partial}, {"served_share", "served share"},
+            {"turned_away", "turned away at endpoints", WhenCut::Partial},
+            {"most_at_one_in_1s", "most calls at one endpoint in 1 s", WhenCut::Partial},
+            {"ran_s", "ran, s", WhenCut::Partial}}},
     {"fleet_listed_alone", "One forwarder of a fleet, each destination lists 5 calls a second, 5 s",
         "forwarders",
-        {{"offered", "offered"}, {"sent", "sent"}, {"served", "served"}, {"sent_share", "sent share"}}},
+        {{"offered", "offered", WhenCut::Partial}, {"sent", "sent", WhenCut::Partial},
+            {"served", "served", WhenCut::Partial}, {"sent_share", "sent share"}}},
 };
 
 CaseName parse_name(const std::string& text) {
@@ -103,7 +121,7 @@
 
 std::string number_text(double value) {
     char text[32];
-    if (value == static_cast<double>(static_cast<long long>(value)) && value < 1e9)
+    if (std::abs(value) < 1e9 && value == std::trunc(value))
         std::snprintf(text, sizeof text, "%lld", static_cast<long long>(value));
     else
         std::snprintf(text, sizeof text, "%.4g", value);
@@ -137,23 +155,35 @@
     return all;
 }
 
+bool was_cut(const Result& result) { return result.figures.contains("over_s"); }
+
 /// A figure, marked where its case was cut short; or why there is none.
-std::string cell_text(const Result& result, const char* figure) {
+std::string cell_text(const Result& result, const Figure& figure) {
     if (!result.error.empty()) return result.error;
-    const auto found = result.figures.find(figure);
+    const auto found = result.figures.find(figure.name);
     if (found == result.figures.end()) return "-";
-    return number_text(found->second) + (result.figures.contains("over_s") ? "*" : "");
+    if (!was_cut(result)) return number_text(found->second);
+    if (figure.when_cut == WhenCut::Total) return "over " + number_text(result.figures.at("over_s")) + " s";
+    return number_text(found->second) + "*";
 }
 
-std::vector<SeriesPoint> points_of(const Series& series, const char* figure) {
+std::vector<SeriesPoint> points_of(const Series& series, const Figure& figure) {
     std::vector<SeriesPoint> points;
     for (const auto& [size, result] : series.by_size) {
-        const auto found = result.figures.find(figure);
+        if (was_cut(result) && figure.when_cut != WhenCut::Mean) continue;
+        const auto found = result.figures.find(figure.name);
         if (found != result.figures.end()) points.push_back({size, found->second});
     }
     return points;
 }
 
+/// The slopes of a figure, if its last decade of sizes has values enough.
+std::optional<Growth> growth_in(const Series& series, const Figure& figure) {
+    const std::vector<SeriesPoint> points = points_of(series, figure);
+    if (points.empty() || points.back().size < series.by_size.rbegin()->first) return std::nullopt;
+    return growth_of(points);
+}
+
 void print_row(const std::string& label, const std::vector<std::string>& cells) {
     std::printf("  %-38s", label.c_str());
     for (const std::string& cell : cells) std::printf(" %13s", cell.c_str());
@@ -167,8 +197,8 @@
     print_row(std::string(table.axis) + " ->", sizes);
     for (const Figure& figure : table.figures) {
         std::vector<std::string> cells;
-        for (const auto& [size, result] : series.by_size) cells.push_back(cell_text(result, figure.name));
-        const std::optional<Growth> growth = growth_of(points_of(series, figure.name));
+        for (const auto& [size, result] : series.by_size) cells.push_back(cell_text(result, figure));
+        const std::optional<Growth> growth = growth_in(series, figure);
         cells.push_back(growth ? number_text(growth->per_unit) : "-");
         cells.push_back(growth && growth->exponent ? number_text(*growth->exponent) : "-");
         print_row(figure.heading, cells);
--- a/bench/sender_bench.cpp
+++ b/bench/sender_bench.cpp
@@ -1,8 +1,8 @@
 /// What one Sender costs at the operators' sizes, on a virtual clock with modelled endpoints.
 ///
-/// Each case runs once; its figures are its counters. A case whose measured turns take kBound together ends
-/// early with the counter over_s, and its figures are those of the part that ran. One turn is never cut
-/// short: for that bench/run bounds the whole process.
+/// Each case runs once; its figures are its counters. A case whose measured turns take a bound of time
+/// together ends early with the counter over_s, and its figures are those of the part that ran. One turn is
+/// never cut short: for that bench/run bounds the whole process.
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
@@ -21,7 +21,6 @@
 namespace cometspoke::bench {
 namespace {
 
-constexpr WallTime kBound{3.0};
 constexpr Time kStart{1'000'000};             // of the virtual clock
 constexpr Time kWholeDay{86'400'000'000};     // a told wait or deadline beyond the end of any case
 constexpr Time kSteadySpan{10'000'000};       // virtual time over which steady turns are measured
@@ -35,6 +34,7 @@
 /// Where held messages go. Their destinations have told a wait of a whole day.
 enum class HeldAt : std::int64_t { One = 0, DownShare = 1, Many = 2 };
 
+WallTime bound{3.0};
 std::size_t taken_on = kTakenOn;
 
 /// One forwarder with its list, its endpoints and the virtual clock.
@@ -80,7 +80,7 @@
     /// hold() always closes this one.
     DestinationId closed_destination(HeldAt where) const { return closed_destinations(1, where).front(); }
 
-    bool out_of_time() const { return forwarder_.costs().total > kBound; }
+    bool out_of_time() const { return forwarder_.costs().total > bound; }
 
     /// Runs outcomes and timers that are due before `end`, then stands there.
     void run_until(Time end) {
@@ -119,7 +119,7 @@
         state.counters["held_after"] = static_cast<double>(forwarder_.held());
         if (span > Time(0))
             state.counters["core_share"] = costs.total.count() * 1e6 / static_cast<double>(span.count());
-        if (cut_short_) state.counters["over_s"] = kBound.count();
+        if (cut_short_) state.counters["over_s"] = bound.count();
         if (!forwarder_.adds_up()) state.SkipWithError("messages do not add up");
     }
 
@@ -353,6 +353,7 @@
 void register_cases(const CaseSizes& sizes) {
     const bool small = sizes.sizes == Sizes::Small;
     if (small) taken_on = kTakenOnSmall;
+    if (sizes.bound_s) bound = WallTime(*sizes.bound_s);
     Values destinations = small ? Values{50, 500} : Values{1'000, 10'000, 100'000, kDestinations};
     if (sizes.destinations) destinations = {*sizes.destinations};
     const Values most{destinations.back()};
