--- /dev/null
+++ b/bench/workload.cpp
@@ -0,0 +1,101 @@
+#include "workload.hpp"
+
+#include <cmath>
+
+namespace cometspoke::bench {
+namespace {
+
+constexpr std::size_t kMostEndpoints = 2;  // of a destination; endpoint ids are its id times this, and on
+
+std::size_t endpoint_count(EndpointsEach each, std::size_t destination) {
+    switch (each) {
+        case EndpointsEach::One:
+            return 1;
+        case EndpointsEach::Two:
+            return 2;
+        case EndpointsEach::OneOrTwo:
+            return 1 + destination % 2;
+    }
+    return 1;
+}
+
+}  // namespace
+
+Settings make_settings(const WorkloadOptions& options) {
+    ClassSettings retryable;
+    retryable.aim = Time(2'000'000);
+    retryable.deadline = kUsualDeadline;
+    Settings settings;
+    settings.classes = {retryable};
+    settings.kinds.resize(1);
+    settings.n_instances = options.forwarders;
+    settings.slots = 64;
+    settings.most_held = options.most_held;
+    settings.max_attempts = 8;
+    settings.cancel = true;
+    settings.listed_rates = options.listed_rates;
+    settings.conn_idle = Time(10'000'000);
+    settings.fall = Time(2'000'000);
+    settings.warm_within = Time(10'000'000);
+    settings.settle_after_doubt = Time(300'000);
+    settings.fall_multiple = 2.0;
+    settings.cold_from = 0.2;
+    return settings;
+}
+
+std::vector<EndpointId> endpoints_of(const WorkloadOptions& options, std::size_t destination) {
+    std::vector<EndpointId> endpoints;
+    for (std::size_t i = 0; i < endpoint_count(options.endpoints_each, destination); ++i)
+        endpoints.push_back(static_cast<EndpointId>(destination * kMostEndpoints + i));
+    return endpoints;
+}
+
+ListEvent make_list(const WorkloadOptions& options) {
+    ListEvent list;
+    for (std::size_t destination = 0; destination < options.destinations; ++destination)
+        for (const EndpointId endpoint : endpoints_of(options, destination)) {
+            ListEntry entry;
+            entry.endpoint = endpoint;
+            entry.destination = static_cast<DestinationId>(destination);
+            entry.rate = options.listed_rates ? kListedRate : 0.0;
+            list.entries.push_back(entry);
+        }
+    return list;
+}
+
+std::vector<EndpointModel> make_endpoints(const WorkloadOptions& options) {
+    EndpointModel usual;
+    usual.limit_per_s = options.listed_rates ? kListedRate : 0.0;
+    std::vector<EndpointModel> models(options.destinations * kMostEndpoints, usual);
+    bool silent = false;
+    for (const DestinationId destination : down_destinations(options.destinations, options.down_share)) {
+        for (const EndpointId endpoint : endpoints_of(options, static_cast<std::size_t>(destination))) {
+            EndpointModel& model = models[endpoint];
+            model.down_from = options.down_from;
+            model.down_until = options.down_until;
+            model.down_mode = silent ? DownMode::Silent : DownMode::RefusesConnection;
+        }
+        silent = !silent;
+    }
+    return models;
+}
+
+std::vector<DestinationId> down_destinations(std::size_t destinations, double share) {
+    std::vector<DestinationId> down;
+    for (std::size_t i = 0; i < destinations; ++i) {
+        const double before = std::floor(static_cast<double>(i) * share + 0.5);
+        const double after = std::floor(static_cast<double>(i + 1) * share + 0.5);
+        if (after > before) down.push_back(static_cast<DestinationId>(i));
+    }
+    return down;
+}
+
+MessageEvent make_message(MessageId message, DestinationId destination, Time left) {
+    MessageEvent event;
+    event.message = message;
+    event.destination = destination;
+    event.left = left;
+    return event;
+}
+
+}  // namespace cometspoke::bench
