--- a/bench/journal.cmake
+++ b/bench/journal.cmake
@@ -1,5 +1,4 @@
 # What the journal and the list of targets cost, in their own units and in the event loop of a whole forwarder.
-find_package(benchmark REQUIRED)
 
 add_executable(journal_bench ${CMAKE_CURRENT_LIST_DIR}/journal_bench.cpp)
 target_link_libraries(journal_bench PRIVATE lockgw_net benchmark::benchmark)
