Queue destinations by share tag, and look at closed ones only when they may open

Cause: each pick looked at every destination that holds messages, and each activation shifted all their tags. Change: ShareQueue keeps them by P with one shift for all; one whose endpoints are all closed (waits, limits, fall-back budget, list) is parked until the first may open, an outcome of its own, news of the list, a ban or settings. The order of sends is as defined before; fewer timers are asked for, one at the end of what closes a destination and not at each part. Lists of serialized fields move to a header of their own.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -11,7 +11,9 @@
 #include "cometspoke/sender.hpp"
 #include "counted_values.hpp"
 #include "key_sequencer.hpp"
+#include "learned_fields.hpp"
 #include "learned_figures.hpp"
+#include "share_queue.hpp"
 #include "time_index.hpp"
 #include "time_math.hpp"
 #include "validate_settings.hpp"
@@ -131,7 +133,7 @@
     std::size_t repeatable = 0;               // of them, those that bring news of an endpoint at little risk
     double weight = 1.0;                      // w: the listed rate, if there is one
     Time reservation_tag{kLongAgo};           // R
-    Time share_tag{kLongAgo};                 // P
+    Time share_tag{kLongAgo};                 // P, while it holds no message
     int in_flight = 0;
     double usual = 0.0;  // seconds to answer, blended slowly
     double asked = 0;    // own messages a second, as of the last one
@@ -141,47 +143,6 @@
     Time first_served{kLongAgo}, last_served{kLongAgo};
 };
 
-void each_figure(auto& route, auto& visit) requires requires { route.gain; }
-{
-    visit("wait_until", route.wait_until);
-    visit("limit_tag", route.limit_tag);
-    visit("known", route.known);
-    visit("gain", route.gain);
-    visit("refusals", route.refusals);
-    visit("ceiling", route.ceiling);
-    visit("learned_at", route.learned_at);
-}
-void each_figure(auto& endpoint, auto& visit) requires requires { endpoint.health; }
-{
-    each_figure(endpoint.own, visit);
-    visit("used", endpoint.used);
-    visit("heard", endpoint.heard);
-    visit("often", endpoint.often);
-    visit("health", endpoint.health);
-    visit("failure_seen", endpoint.failure_seen);
-    visit("failing", endpoint.failing);
-    visit("refused_row", endpoint.refused_row);
-    visit("last_good", endpoint.last_good);
-    visit("refused_at", endpoint.refused_at);
-    visit("lost_at", endpoint.lost_at);
-    visit("unconnected_at", endpoint.unconnected_at);
-    visit("fell", endpoint.fell);
-    visit("knowing", endpoint.knowing);
-    visit("returned", endpoint.returned);
-    visit("cold_tag", endpoint.cold_tag);
-}
-void each_figure(auto& destination, auto& visit) requires requires { destination.held; }
-{
-    each_figure(destination.shared, visit);
-    visit("usual", destination.usual);
-    visit("asked", destination.asked);
-    visit("asked_at", destination.asked_at);
-    visit("served_rate", destination.served_rate);
-    visit("taken_rate", destination.taken_rate);
-    visit("first_served", destination.first_served);
-    visit("last_served", destination.last_served);
-}
-
 struct Message {
     std::shared_ptr<const ClassSettings> terms;  // its class, as it was when the message was taken on
     DestinationId destination = 0;
@@ -228,6 +189,7 @@
     void take(const SettingsEvent& event, Time now) {
         adopt(event.settings);
         for (const auto& [id, message] : messages_) reindex(id, message, now);
+        queue_.reopen_all();
     }
 
     void take(const ListEvent& event, Time now) {
@@ -249,11 +211,13 @@
                 gone_.insert(id);
             }
         for (const ListEntry& entry : event.entries) list(entry, now);
+        queue_.reopen_all();
     }
 
     // Out by hand: nothing new goes there. It is restarted meanwhile: each sender takes it as an outage.
     void take(const BanEvent& event, Time now) {
         const auto found = endpoints_.find(event.endpoint);
+        queue_.reopen_all();
         if (event.on) {
             if (!banned_.insert(event.endpoint).second) return;
             if (found != endpoints_.end()) found->second.idle.clear();
@@ -295,7 +259,8 @@
         destination.aims.add(kind.aim);
         reindex(event.message, message, now);
         messages_.emplace(event.message, message);
-        if (active_.emplace(event.destination, &destination).second) activate(destination, now);
+        if (active_.emplace(event.destination, &destination).second)
+            activate(event.destination, destination, now);
     }
 
     void take(const OutcomeEvent& event, Time now) {
@@ -306,6 +271,7 @@
         if (key) settle_key(*key, event, now);
         Call& call = calls_.at(call_id);
         Endpoint& endpoint = endpoints_.at(call.endpoint);
+        queue_.reopen(endpoint.destination);
         take(WaitTold{call.endpoint, event.wait}, now);  // each message of a call may be told its own
         const bool unsent = event.outcome == Outcome::NotSent || event.outcome == Outcome::Withheld;
         if (event.no_connections) unconnected_[endpoint.kind] = now;  // idle ones are in the way
@@ -358,6 +324,7 @@
 
     void take(const Learned& event, Time now) {
         FigureReader reader{event.figures, now};
+        queue_.reopen_all();
         if (event.endpoint) {
             const auto found = endpoints_.find(*event.endpoint);
             if (found != endpoints_.end()) each_figure(found->second, reader);
@@ -405,6 +372,7 @@
         watch_silence(now);
         drop_stuck(now);
         keep_room(now);
+        queue_.reopen_due(now);
         while (calls_.size() < settings_.slots) {
             const std::optional<Pick> pick = choose(now);
             if (!pick) break;
@@ -500,37 +468,50 @@
 
     // The tags of the head: R = max(R+1/r, now), L = max(L+1/l, now), P = max(P+1/w, now-sigma/w). They
     // stepped when the last head left; here the arrival time comes in, and P shifts so that all start level.
-    void activate(Destination& newcomer, Time now) {
-        const double w = newcomer.weight;
+    void activate(DestinationId id, Destination& newcomer, Time now) {
         newcomer.reservation_tag = std::max(newcomer.reservation_tag, now);
-        newcomer.share_tag = std::max(newcomer.share_tag, now - from_seconds(kSigma / w));
         newcomer.shared.limit_tag = std::max(newcomer.shared.limit_tag, now);
-        Time smallest = kNever;
-        for (const auto& [id, other] : active_)
-            if (other != &newcomer) smallest = std::min(smallest, other->share_tag);
-        if (smallest == kNever) return;
-        const Time shift = newcomer.share_tag - smallest;
-        for (const auto& [id, other] : active_)
-            if (other != &newcomer) other->share_tag += shift;
+        queue_.activate(id, std::max(newcomer.share_tag, now - from_seconds(kSigma / newcomer.weight)));
+    }
+    // The earliest moment at which one of its endpoints may be open.
+    Time closed_until(const Destination& destination, Time now) const {
+        Time until = kNever;
+        for (const EndpointId id : destination.endpoints) {
+            const Endpoint& endpoint = endpoints_.at(id);
+            if (endpoint.condition != Condition::Ready || banned_.contains(id)) continue;
+            Time opens = std::max(now, route_of(endpoint).wait_until);
+            if (endpoint.health != Health::Well) opens = std::max(opens, endpoint.cold_tag);
+            if (settings_.floor_per_s <= 0) opens = std::max(opens, route_of(endpoint).limit_tag);
+            until = std::min(until, opens);
+        }
+        return until;
     }
 
     // First the smallest R tag due; else the smallest P tag among destinations whose L tag is due.
     std::optional<Pick> choose(Time now) {
         reserved_ = settings_.floor_per_s > 0;
         if (reserved_)
-            if (const auto pick = smallest(&Destination::reservation_tag, now, now, false)) return pick;
+            if (const auto pick = smallest(false, now)) return pick;
         reserved_ = false;
-        return smallest(&Destination::share_tag, kNever, now, true);
+        return smallest(true, now);
     }
-    std::optional<Pick> smallest(Time Destination::*tag, Time latest, Time now, bool limited) {
+    std::optional<Pick> smallest(bool limited, Time now) {
         std::optional<Pick> best;
-        Time least = kNever;
-        for (const auto& [id, destination] : active_) {
-            if (destination->*tag > latest || destination->*tag >= least) continue;
-            if (!has_room(*destination)) continue;
-            if (const auto pick = head(id, *destination, now, limited))
-                best = pick, least = destination->*tag;
+        Time least = limited ? kNever : now;
+        std::vector<std::pair<DestinationId, Time>> closed;
+        for (const auto& [share, id] : queue_.open()) {
+            if (best && limited) break;  // they come in the order of P
+            const Destination& destination = destinations_.at(id);
+            if (const Time until = closed_until(destination, now); until > now) {
+                closed.emplace_back(id, until);
+                continue;
+            }
+            const Time tag = destination.reservation_tag;
+            if (!limited && (tag > least || (best && tag == least && id > best->destination))) continue;
+            if (!has_room(destination)) continue;
+            if (const auto pick = head(id, destination, now, limited)) best = pick, least = tag;
         }
+        for (const auto& [id, until] : closed) queue_.park(id, until);
         return best;
     }
 
@@ -553,15 +534,18 @@
         return sick_calls() + 1 <= std::max(1.0, kSickShare * slots);
     }
     int sick_calls() const {
-        return static_cast<int>(std::count_if(calls_.begin(), calls_.end(), [this](const auto& entry) {
+        if (sick_calls_) return *sick_calls_;
+        sick_calls_ = static_cast<int>(std::count_if(calls_.begin(), calls_.end(), [this](const auto& entry) {
             const Endpoint& endpoint = endpoints_.at(entry.second.endpoint);
             return ailing(endpoint, destinations_.at(endpoint.destination));
         }));
+        return *sick_calls_;
     }
 
     void serve(const Pick& pick, Time now) {
         Destination& destination = destinations_.at(pick.destination);
         Endpoint& endpoint = endpoints_.at(pick.endpoint);
+        sick_calls_.reset();
         const std::uint64_t call_id = ++call_count_;
         calls_.emplace(call_id, Call{pick.endpoint, now});
         ++endpoint.in_flight;
@@ -578,7 +562,8 @@
         route.limit_tag = std::max(route.limit_tag + limit_gap(route, destination), now);
         if (endpoint.health != Health::Well) spend_budget(endpoint, now);
         const double w = destination.weight;
-        destination.share_tag = std::max(destination.share_tag + gap_of(w), now - from_seconds(kSigma / w));
+        const Time share = queue_.tag(endpoint.destination) + gap_of(w);
+        queue_.set_tag(endpoint.destination, std::max(share, now - from_seconds(kSigma / w)));
         if (settings_.floor_per_s <= 0) return;
         const Time step = gap_of(settings_.floor_per_s);
         destination.reservation_tag = std::max(destination.reservation_tag + step, now);
@@ -748,6 +733,7 @@
     // others need; one that may not be repeated only where nearly all are taken, or as the oldest of those
     // that leave a silent endpoint no room for a probe.
     void drop_stuck(Time now) {
+        sick_calls_.reset();
         if (!settings_.cancel) return;
         const auto slots = static_cast<double>(settings_.slots), out = static_cast<double>(calls_.size());
         const bool jammed = out > kScarce * slots;
@@ -1139,7 +1125,10 @@
         ends_.erase(id), pauses_.erase(id);
         doubt_at(found->second, std::nullopt);
         if (brings_news(found->second)) --destination.repeatable;
-        if (destination.held.empty()) active_.erase(found->second.destination);
+        if (destination.held.empty()) {
+            active_.erase(found->second.destination);
+            destination.share_tag = queue_.deactivate(found->second.destination);
+        }
         if (const auto key = found->second.key) keys_.remove(*key, id, now);
         messages_.erase(found);
     }
@@ -1209,8 +1198,11 @@
         for (const auto& due : {ends_.earliest(), pauses_.earliest()})
             next = std::min(next, due.value_or(kNever));
         next = std::min(next, keys_.next_turn(now, kNever));
-        if (calls_.size() < settings_.slots)
-            for (const auto& [id, destination] : active_) next = std::min(next, next_due(*destination, now));
+        if (calls_.size() < settings_.slots) {
+            next = std::min(next, queue_.next_reopening().value_or(kNever));
+            for (const auto& [share, id] : queue_.open())
+                next = std::min(next, next_due(destinations_.at(id), now));
+        }
         if (next == kNever) return;
         next = std::max(next, now + Time(1000));
         if (timer_at_ > now && timer_at_ <= next) return;
@@ -1237,6 +1229,7 @@
     std::mt19937_64 random_;
     std::map<DestinationId, Destination> destinations_;
     std::map<DestinationId, Destination*> active_;  // those that hold messages
+    ShareQueue queue_;                              // the same by P
     std::map<EndpointId, Endpoint> endpoints_;
     std::set<DestinationId> unnamed_;  // of which no endpoint is known
     std::map<MessageId, Message> messages_;
@@ -1253,6 +1246,7 @@
     std::vector<Action> actions_;
     std::uint64_t arrivals_ = 0, call_count_ = 0;
     double overall_usual_ = 0.0;
+    mutable std::optional<int> sick_calls_;  // since calls or health last changed
     bool reserved_ = false;
     Time watch_at_ = kNever;
     int watch_tries_ = 0;
--- a/src/time_index.hpp
+++ b/src/time_index.hpp
@@ -51,6 +51,10 @@
     }
     auto begin() const { return order_.begin(); }  ///< pairs of time and identifier, earliest first
     auto end() const { return order_.end(); }
+    std::optional<Time> time_of(Id id) const {
+        const auto found = times_.find(id);
+        return found == times_.end() ? std::nullopt : std::optional(found->second);
+    }
     bool contains(Id id) const { return times_.contains(id); }
     std::size_t size() const { return times_.size(); }
 
