--- a/src/learned_figures.hpp
+++ b/src/learned_figures.hpp
@@ -5,26 +5,22 @@
 /// that was never set is left out, and a figure that is missing leaves its field as it is.
 #pragma once
 
-#include <algorithm>
-#include <chrono>
-#include <cmath>
-#include <cstdint>
 #include <map>
 #include <string>
 
+#include "time_math.hpp"
+
 namespace cometspoke {
 
 using Figures = std::map<std::string, double>;
 
-constexpr std::chrono::microseconds kNeverSet{-4'000'000'000'000'000'000};
-
 /// Writes each visited field into `figures`.
 struct FigureWriter {
     Figures& figures;
-    std::chrono::microseconds now;
+    Time now;
 
-    void operator()(const char* name, std::chrono::microseconds value) {
-        if (value > kNeverSet) figures[name] = static_cast<double>((value - now).count()) / 1e6;
+    void operator()(const char* name, Time value) {
+        if (value > kLongAgo) figures[name] = seconds(value - now);
     }
     template <class Number>
     void operator()(const char* name, Number value) {
@@ -35,22 +31,17 @@
 /// Reads each visited field from `figures`, as seen from `now`.
 struct FigureReader {
     const Figures& figures;
-    std::chrono::microseconds now;
+    Time now;
 
-    void operator()(const char* name, std::chrono::microseconds& value) {
+    void operator()(const char* name, Time& value) {
         const auto found = figures.find(name);
-        if (found == figures.end()) return;
-        const double seconds = std::min(found->second, kLongestSpan_s);
-        value = now + std::chrono::microseconds(std::llround(seconds * 1e6));
+        if (found != figures.end()) value = now + from_seconds(found->second);
     }
     template <class Number>
     void operator()(const char* name, Number& value) {
         const auto found = figures.find(name);
         if (found != figures.end()) value = static_cast<Number>(found->second);
     }
-
-private:
-    static constexpr double kLongestSpan_s = 1e6;  // keeps a spoilt figure from overflowing a time
 };
 
 }  // namespace cometspoke
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -209,21 +209,21 @@
                 endpoint.condition = Condition::Gone;
                 destinations_.at(endpoint.destination).endpoints.erase(id);
                 gone_.insert(id);
+                queue_.reopen(endpoint.destination);
             }
         for (const ListEntry& entry : event.entries) list(entry, now);
-        queue_.reopen_all();
     }
 
     // Out by hand: nothing new goes there. It is restarted meanwhile: each sender takes it as an outage.
     void take(const BanEvent& event, Time now) {
         const auto found = endpoints_.find(event.endpoint);
-        queue_.reopen_all();
         if (event.on) {
             if (!banned_.insert(event.endpoint).second) return;
             if (found != endpoints_.end()) found->second.idle.clear();
             actions_.emplace_back(CloseIdle{event.endpoint});
         } else if (banned_.erase(event.endpoint) > 0 && found != endpoints_.end()) {
             return_cold(found->second, now);
+            queue_.reopen(found->second.destination);
         }
     }
 
@@ -259,8 +259,7 @@
         destination.aims.add(kind.aim);
         reindex(event.message, message, now);
         messages_.emplace(event.message, message);
-        if (active_.emplace(event.destination, &destination).second)
-            activate(event.destination, destination, now);
+        if (destination.held.size() == 1) activate(event.destination, destination, now);
     }
 
     void take(const OutcomeEvent& event, Time now) {
@@ -324,13 +323,16 @@
 
     void take(const Learned& event, Time now) {
         FigureReader reader{event.figures, now};
-        queue_.reopen_all();
         if (event.endpoint) {
             const auto found = endpoints_.find(*event.endpoint);
-            if (found != endpoints_.end()) each_figure(found->second, reader);
+            if (found == endpoints_.end()) return;
+            each_figure(found->second, reader);
+            queue_.reopen(found->second.destination);
         } else if (event.destination) {
             const auto found = destinations_.find(*event.destination);
-            if (found != destinations_.end()) each_figure(found->second, reader);
+            if (found == destinations_.end()) return;
+            each_figure(found->second, reader);
+            queue_.reopen(*event.destination);
         } else {
             reader("usual", overall_usual_);
         }
@@ -414,6 +416,7 @@
             gone_.insert(entry.endpoint), destination.endpoints.erase(entry.endpoint);
         else
             gone_.erase(entry.endpoint), destination.endpoints.insert(entry.endpoint);
+        queue_.reopen(entry.destination);
         if (!settings_.listed_rates) return;
         if (entry.rate > 0) destination.weight = entry.rate;
         Route& route = apart(endpoint) ? endpoint.own : destination.shared;
@@ -437,6 +440,7 @@
         Destination& destination = destinations_.at(endpoint.destination);
         destination.endpoints.erase(id);
         destination.in_flight -= endpoint.in_flight;
+        queue_.reopen(endpoint.destination);
         if (--destination.named == 0) unnamed_.insert(endpoint.destination);
     }
 
@@ -615,10 +619,13 @@
         return best;
     }
     bool any_open(const Destination& destination, Time now, bool limited) const {
-        return std::any_of(destination.endpoints.begin(), destination.endpoints.end(), [&](EndpointId id) {
-            const Endpoint& endpoint = endpoints_.at(id);
-            return open(id, now) && !(limited && route_of(endpoint).limit_tag > now) && has_room(endpoint);
-        });
+        return std::any_of(destination.endpoints.begin(), destination.endpoints.end(),
+            [&](EndpointId id) { return can_take_call(id, now, limited); });
+    }
+    // All but what depends on the message.
+    bool can_take_call(EndpointId id, Time now, bool limited) const {
+        const Endpoint& endpoint = endpoints_.at(id);
+        return open(id, now) && !(limited && route_of(endpoint).limit_tag > now) && has_room(endpoint);
     }
     // How long the held messages take to go out, where that is longer than the aim of one of them; else 0.
     Time backlog_of(const Destination& destination, Time now) const {
@@ -649,10 +656,8 @@
         std::optional<EndpointId> best;
         double least = 0.0;
         for (const EndpointId id : destination.endpoints) {
-            Endpoint& endpoint = endpoints_.at(id);
-            if (limited && route_of(endpoint).limit_tag > now) continue;
-            if (!open(id, now) || !may_go(message, id, now) || !has_room(endpoint)) continue;
-            const double cost = cost_of(endpoint, now);
+            if (!can_take_call(id, now, limited) || !may_go(message, id, now)) continue;
+            const double cost = cost_of(endpoints_.at(id), now);
             if (!best || cost < least) best = id, least = cost;
         }
         return best;
@@ -1125,10 +1130,7 @@
         ends_.erase(id), pauses_.erase(id);
         doubt_at(found->second, std::nullopt);
         if (brings_news(found->second)) --destination.repeatable;
-        if (destination.held.empty()) {
-            active_.erase(found->second.destination);
-            destination.share_tag = queue_.deactivate(found->second.destination);
-        }
+        if (destination.held.empty()) destination.share_tag = queue_.deactivate(found->second.destination);
         if (const auto key = found->second.key) keys_.remove(*key, id, now);
         messages_.erase(found);
     }
@@ -1150,16 +1152,17 @@
         while (messages_.size() > std::max<std::size_t>(1, most)) {
             std::optional<MessageId> least;
             std::pair lowest{0.0, 0.0};
-            for (const auto& [destination_id, destination] : active_) {
-                Time turn = now + stalled(*destination, now);
-                for (const auto& [arrival, id] : destination->held) {
-                    turn += gap_of(drain_rate(*destination, now));
+            queue_.for_each([&](DestinationId destination_id) {
+                const Destination& destination = destinations_.at(destination_id);
+                Time turn = now + stalled(destination, now);
+                for (const auto& [arrival, id] : destination.held) {
+                    turn += gap_of(drain_rate(destination, now));
                     const Message& message = messages_.at(id);
                     if (message.out > 0 || message.doubt_since) continue;
                     const std::pair rank{worth_of(message, turn), -static_cast<double>(arrival)};
                     if (!least || rank < lowest) least = id, lowest = rank;
                 }
-            }
+            });
             if (!least) return;
             end(*least, now);
         }
@@ -1228,8 +1231,7 @@
     std::vector<std::shared_ptr<const ClassSettings>> classes_;
     std::mt19937_64 random_;
     std::map<DestinationId, Destination> destinations_;
-    std::map<DestinationId, Destination*> active_;  // those that hold messages
-    ShareQueue queue_;                              // the same by P
+    ShareQueue queue_;  // those that hold messages, by P
     std::map<EndpointId, Endpoint> endpoints_;
     std::set<DestinationId> unnamed_;  // of which no endpoint is known
     std::map<MessageId, Message> messages_;
--- a/src/share_queue.hpp
+++ b/src/share_queue.hpp
@@ -63,6 +63,12 @@
     }
     void reopen_all() { reopen_due(Time::max()); }
 
+    /// Calls `visit` with each active destination, parked or not, in no order that means anything.
+    template <class Visit>
+    void for_each(Visit visit) const {
+        for (const auto& [tag, id] : open_) visit(id);
+        for (const auto& [tag, id] : parked_) visit(id);
+    }
     /// Those that are not parked, smallest tag first, equals by their identifiers: pairs of an inner figure
     /// and an identifier.
     const TimeIndex<Id>& open() const { return open_; }
--- a/src/time_math.hpp
+++ b/src/time_math.hpp
@@ -5,12 +5,11 @@
 #include <cmath>
 
 #include "cometspoke/sender.hpp"
-#include "learned_figures.hpp"
 
 namespace cometspoke {
 
-constexpr Time kNever{4'000'000'000'000'000'000};  ///< far from overflow when one is taken from another
-constexpr Time kLongAgo = kNeverSet;
+constexpr Time kNever{4'000'000'000'000'000'000};     ///< far from overflow when one is taken from another
+constexpr Time kLongAgo{-4'000'000'000'000'000'000};  ///< also stands for a time that was never set
 
 inline double seconds(Time time) { return static_cast<double>(time.count()) / 1e6; }
 
