--- /dev/null
+++ b/review/1/case.cpp
@@ -0,0 +1,113 @@
+// A call to an endpoint that has left the list is out while the process is replaced. Is its message kept to
+// the zone of that endpoint?
+#include "../common/stand_in.hpp"
+
+using namespace review;
+
+namespace {
+
+constexpr int kCell = 7;
+constexpr double kTime_ms = 16000;  // of the message
+
+Json settings() {
+    return Json::parse(R"({
+ "az":"east",
+ "classes":[
+  {"aim_ms":9000.0,"dedup_scope":"zone","effect":"dedup","hard_limit_ms":70000.0,"late_worth":0.6,"name":"digest","streamed":false,"window_ms":40000.0,"worth":1.0},
+  {"aim_ms":6000.0,"dedup_scope":"all","effect":"fragile","hard_limit_ms":90000.0,"late_worth":0.7,"name":"invoice","streamed":false,"window_ms":5000.0,"worth":4.0},
+  {"aim_ms":5000.0,"dedup_scope":"all","effect":"dedup","hard_limit_ms":45000.0,"late_worth":0.3,"name":"receipt","streamed":false,"window_ms":60000.0,"worth":2.0},
+  {"aim_ms":12000.0,"dedup_scope":"all","effect":"retryable","hard_limit_ms":60000.0,"late_worth":0.5,"name":"notice-board","streamed":false,"window_ms":5000.0,"worth":1.0}],
+ "clients":{"marks_retry":true},
+ "contract":{"answer_slack_ms":20.0,"cold_from":0.08,"drain_grace_ms":2000.0,"fall_ms":4000.0,"fall_multiple":3.0,"must_ask_in_ms":10000.0,"warm_within_ms":18000.0},
+ "discovery":"automatic",
+ "family_info":{"carriage":[0.0,0.02,0.04,0.07],"loses_worth":"linear","per_call":[40,3],"routes_apart":[false,true],"slots":10,"turned_away_price":0.08},
+ "kinds":["carrier","office"],
+ "limits":{"cancel":true,"conn_idle_ms":25000.0,"connect_timeout_ms":2500.0,"cpu_us_per_request":0.0,"cpu_us_per_s":400000,"max_attempts":20,"max_retry_after_ms":8000.0,"most_held":300,"peers":false,"probing":true,"retry_after":true,"second_copies":false,"streams_per_conn":8},
+ "localities":["north","east","south","west"],
+ "me":1,
+ "n_instances":3,
+ "over_share_worth":0.4,
+ "report":{"columns":["x0","x1"],"source":"inline"},
+ "tenants":[{"name":"ateneo","portion":0.35,"quota_per_s":28.0},{"name":"bayani","portion":0.25,"quota_per_s":20.0},{"name":"carmen","portion":0.2,"quota_per_s":16.0},{"name":"dalisay","portion":0.12,"quota_per_s":10.0},{"name":"esteban","portion":0.08,"quota_per_s":6.0}],
+ "tier":0,
+ "tiers":["mail-exchangers"],
+ "weights":"nominal",
+ "workload":"deliver",
+ "worth_by":"request"})");
+}
+
+bool rule_held(bool trouble) {
+    const std::string id = "9b1f03aa5c7e2d41", key = "5c0f6e1a2b3d4c59";
+    std::mutex mutex;
+    std::map<std::string, std::vector<std::string>> runs;  // the zones whose endpoints ran a message
+    const auto ran = [&](const std::string& endpoint, const std::string& zone, const Request& request) {
+        const std::lock_guard lock(mutex);
+        for (const Delivered& message : messages_of(request)) {
+            record.line(
+                "endpoint " + endpoint + " in " + zone + ": runs " + message.id + " with key " + message.key);
+            runs[message.id].push_back(zone);
+        }
+    };
+    const auto zones_of = [&](const std::string& message) {
+        const std::lock_guard lock(mutex);
+        return runs[message];
+    };
+
+    Agent agent;
+    Server other(
+        [&](Connection& c, const Request& r) { return ran("north-9", "north", r), answer_delivered(c, r); });
+    // The machine runs the message and goes silent: no answer, no reset.
+    Server east([&](Connection& c, const Request& r) {
+        ran("east-1", "east", r);
+        record.line("endpoint east-1: silent from here on");
+        while (!c.ended_before(now_ms() + 60000)) continue;
+        record.line("endpoint east-1: the forwarder has ended the call");
+        return false;
+    });
+    Server north(
+        [&](Connection& c, const Request& r) { return ran("north-1", "north", r), answer_delivered(c, r); });
+
+    Platform platform(agent);
+    platform.config["settings"] = settings();
+    const Json unrelated = member("north-9", other.address(), "north", "carrier", 9);
+    platform.config["known"] = {{"revision", 1}, {"complete", true}, {"members", {unrelated}}};
+    agent.publish({unrelated});
+    const pid_t old = platform.start_ready();
+
+    agent.publish({member("east-1", east.address(), "east", "carrier", kCell)});
+    if (!wait_for(8000, [&] { return agent.told() == agent.revision(); }))
+        throw CannotRun("the list is not asked for");
+    sleep_ms(200);
+    const double sent_at = now_ms();
+    if (hand_in(platform.address(), "0", id, "c=digest,t=ateneo,d=16000,k=" + key + ",dest=7", "state") !=
+        "+OK")
+        throw CannotRun("the message is not taken on");
+    if (!wait_for(5000, [&] { return !zones_of(id).empty(); })) throw CannotRun("no call to east-1");
+
+    // The directory replaces the silent endpoint by one in another zone.
+    sleep_ms(1000);
+    agent.publish({member("east-1", east.address(), "east", "carrier", kCell, "terminated"),
+        member("north-1", north.address(), "north", "carrier", kCell)});
+    if (!wait_for(8000, [&] { return agent.told() == agent.revision(); }))
+        throw CannotRun("the list is not asked for");
+    sleep_ms(1000);
+
+    if (trouble) platform.replace(old);
+    // Until the message has ended and its notice is no longer due.
+    wait_for(sent_at + kTime_ms + 2000 - now_ms(),
+        [&] { return !agent.notices(id).empty() || zones_of(id).size() > 1; });
+    sleep_ms(300);
+    platform.record_log();
+
+    bool held = true;
+    for (const std::string& zone : zones_of(id)) held = held && zone == "east";
+    const bool ended = !agent.notices(id).empty();
+    record.line(std::string("the message ran ") + std::to_string(zones_of(id).size()) + " times, " +
+                (ended ? "and ended with a notice" : "and has no notice"));
+    if (held && !ended) throw CannotRun("the message has not ended");
+    return held;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) { run_case(argc, argv, rule_held); }
