--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
-// A call to an endpoint that has left the list is out while the process is replaced. Is its message kept to
-// the zone of that endpoint?
+// A call with several messages is out while one of them runs out of time and the process is replaced. Does
+// the next message of its key wait for the end of that call?
 #include "../common/stand_in.hpp"
 
 using namespace review;
@@ -7,105 +7,121 @@
 namespace {
 
 constexpr int kCell = 7;
-constexpr double kTime_ms = 16000;  // of the message
+const std::string kKey = "00103bc49aa18e2d", kOtherKey = "0006483caaef320d";
 
 Json settings() {
     return Json::parse(R"({
- "az":"east",
+ "az":"kumamoto-hq",
  "classes":[
-  {"aim_ms":9000.0,"dedup_scope":"zone","effect":"dedup","hard_limit_ms":70000.0,"late_worth":0.6,"name":"digest","streamed":false,"window_ms":40000.0,"worth":1.0},
-  {"aim_ms":6000.0,"dedup_scope":"all","effect":"fragile","hard_limit_ms":90000.0,"late_worth":0.7,"name":"invoice","streamed":false,"window_ms":5000.0,"worth":4.0},
-  {"aim_ms":5000.0,"dedup_scope":"all","effect":"dedup","hard_limit_ms":45000.0,"late_worth":0.3,"name":"receipt","streamed":false,"window_ms":60000.0,"worth":2.0},
-  {"aim_ms":12000.0,"dedup_scope":"all","effect":"retryable","hard_limit_ms":60000.0,"late_worth":0.5,"name":"notice-board","streamed":false,"window_ms":5000.0,"worth":1.0}],
+  {"aim_ms":2500.0,"dedup_scope":"all","effect":"dedup","hard_limit_ms":20000.0,"late_worth":0.3,"name":"posting","sequential":true,"streamed":false,"window_ms":8000.0,"worth":1.0}],
  "clients":{"marks_retry":true},
- "contract":{"answer_slack_ms":20.0,"cold_from":0.08,"drain_grace_ms":2000.0,"fall_ms":4000.0,"fall_multiple":3.0,"must_ask_in_ms":10000.0,"warm_within_ms":18000.0},
+ "contract":{"answer_slack_ms":20.0,"cold_from":0.31,"drain_grace_ms":2000.0,"fall_ms":3000.0,"fall_multiple":1.5,"must_ask_in_ms":10000.0,"settle_after_doubt_ms":0.0,"warm_within_ms":14000.0},
  "discovery":"automatic",
- "family_info":{"carriage":[0.0,0.02,0.04,0.07],"loses_worth":"linear","per_call":[40,3],"routes_apart":[false,true],"slots":10,"turned_away_price":0.08},
- "kinds":["carrier","office"],
- "limits":{"cancel":true,"conn_idle_ms":25000.0,"connect_timeout_ms":2500.0,"cpu_us_per_request":0.0,"cpu_us_per_s":400000,"max_attempts":20,"max_retry_after_ms":8000.0,"most_held":300,"peers":false,"probing":true,"retry_after":true,"second_copies":false,"streams_per_conn":8},
- "localities":["north","east","south","west"],
- "me":1,
+ "family_info":{"carriage":[0.0],"loses_worth":"linear","per_call":[20,1],"routes_apart":[false,false],"slots":13,"turned_away_price":0.05},
+ "kinds":["large-partner","small-partner"],
+ "limits":{"cancel":true,"conn_idle_ms":15000.0,"connect_timeout_ms":1500.0,"cpu_us_per_request":0.0,"cpu_us_per_s":400000,"max_attempts":12,"max_retry_after_ms":2000.0,"most_held":232,"peers":false,"probing":true,"retry_after":true,"second_copies":false,"streams_per_conn":8},
+ "localities":["kumamoto-hq"],
+ "me":0,
  "n_instances":3,
- "over_share_worth":0.4,
+ "over_share_worth":0.05,
  "report":{"columns":["x0","x1"],"source":"inline"},
- "tenants":[{"name":"ateneo","portion":0.35,"quota_per_s":28.0},{"name":"bayani","portion":0.25,"quota_per_s":20.0},{"name":"carmen","portion":0.2,"quota_per_s":16.0},{"name":"dalisay","portion":0.12,"quota_per_s":10.0},{"name":"esteban","portion":0.08,"quota_per_s":6.0}],
+ "tenants":[{"name":"fukuoka-studio","portion":0.5,"quota_per_s":38.0},{"name":"kumamoto-studio","portion":0.32,"quota_per_s":24.0},{"name":"oita-studio","portion":0.18,"quota_per_s":14.0}],
  "tier":0,
- "tiers":["mail-exchangers"],
- "weights":"nominal",
+ "tiers":["partner-systems"],
+ "weights":"rough",
  "workload":"deliver",
  "worth_by":"request"})");
 }
 
 bool rule_held(bool trouble) {
-    const std::string id = "9b1f03aa5c7e2d41", key = "5c0f6e1a2b3d4c59";
+    const std::string earlier = "9b1f03aa5c7e2d41", later = "5c0f6e1a2b3d4c59",
+                      companion = "1987c3755d3a91c4";
     std::mutex mutex;
-    std::map<std::string, std::vector<std::string>> runs;  // the zones whose endpoints ran a message
-    const auto ran = [&](const std::string& endpoint, const std::string& zone, const Request& request) {
+    std::map<std::string, double> begun,
+        ended;  // of the last call with each message that was not turned away
+    const auto begin = [&](const std::string& endpoint, const Request& request) {
         const std::lock_guard lock(mutex);
-        for (const Delivered& message : messages_of(request)) {
-            record.line(
-                "endpoint " + endpoint + " in " + zone + ": runs " + message.id + " with key " + message.key);
-            runs[message.id].push_back(zone);
-        }
+        record.line("endpoint " + endpoint + ": call with " + ids_of(request) + " has come");
+        const double now = now_ms();
+        for (const Delivered& message : messages_of(request)) begun[message.id] = now;
+    };
+    const auto end = [&](const std::string& endpoint, const Request& request, const std::string& how) {
+        const std::lock_guard lock(mutex);
+        record.line("endpoint " + endpoint + ": call with " + ids_of(request) + " " + how);
+        for (const Delivered& message : messages_of(request)) ended[message.id] = now_ms();
     };
-    const auto zones_of = [&](const std::string& message) {
+    const auto time_of = [&](const std::map<std::string, double>& times, const std::string& id) {
         const std::lock_guard lock(mutex);
-        return runs[message];
+        const auto found = times.find(id);
+        return found == times.end() ? -1.0 : found->second;
     };
 
     Agent agent;
-    Server other(
-        [&](Connection& c, const Request& r) { return ran("north-9", "north", r), answer_delivered(c, r); });
-    // The machine runs the message and goes silent: no answer, no reset.
-    Server east([&](Connection& c, const Request& r) {
-        ran("east-1", "east", r);
-        record.line("endpoint east-1: silent from here on");
+    std::atomic<int> calls{0};
+    // Turns the first call away with a wait, as above its limit, and is silent from the second on.
+    Server first([&](Connection& c, const Request& r) {
+        if (++calls == 1) {
+            record.line("endpoint p-1: turns " + ids_of(r) + " away, Retry-After: 1.2");
+            return c.answer(429, "Retry-After: 1.2\r\n");
+        }
+        begin("p-1", r);
         while (!c.ended_before(now_ms() + 60000)) continue;
-        record.line("endpoint east-1: the forwarder has ended the call");
+        end("p-1", r, "was ended by the forwarder without an answer");
         return false;
     });
-    Server north(
-        [&](Connection& c, const Request& r) { return ran("north-1", "north", r), answer_delivered(c, r); });
+    Server second([&](Connection& c, const Request& r) {
+        begin("p-2", r);
+        sleep_ms(120);
+        end("p-2", r, "is answered as delivered");
+        return answer_delivered(c, r);
+    });
 
     Platform platform(agent);
     platform.config["settings"] = settings();
-    const Json unrelated = member("north-9", other.address(), "north", "carrier", 9);
-    platform.config["known"] = {{"revision", 1}, {"complete", true}, {"members", {unrelated}}};
-    agent.publish({unrelated});
+    const Json one =
+        member("p-1", first.address(), "kumamoto-hq", "large-partner", kCell, "in_service", 30.0);
+    platform.config["known"] = {{"revision", 1}, {"complete", true}, {"members", {one}}};
+    agent.publish({one});
     const pid_t old = platform.start_ready();
 
-    agent.publish({member("east-1", east.address(), "east", "carrier", kCell)});
+    const auto take_on = [&](const std::string& id, const std::string& key, int time_ms,
+                             const std::string& body) {
+        const std::string fields =
+            "c=posting,t=fukuoka-studio,d=" + std::to_string(time_ms) + ",k=" + id + ",dest=7";
+        if (hand_in(platform.address(), key, id, fields, body) != "+OK")
+            throw CannotRun("a message is not taken on");
+    };
+    take_on(companion, kOtherKey, 12000, "other");
+    if (!wait_for(5000, [&] { return calls == 1; })) throw CannotRun("no first call");
+    sleep_ms(100);
+    take_on(earlier, kKey, 5000, "balance 1");  // both wait, and travel in one call when the wait is over
+    const double taken_at = now_ms();
+    if (!wait_for(6000, [&] { return time_of(begun, earlier) >= 0; })) throw CannotRun("no second call");
+    if (time_of(begun, companion) != time_of(begun, earlier))
+        throw CannotRun("the two messages travel in separate calls");
+    take_on(later, kKey, 20000, "balance 2");
+    agent.publish(
+        {member("p-2", second.address(), "kumamoto-hq", "large-partner", kCell, "in_service", 30.0)});
     if (!wait_for(8000, [&] { return agent.told() == agent.revision(); }))
         throw CannotRun("the list is not asked for");
-    sleep_ms(200);
-    const double sent_at = now_ms();
-    if (hand_in(platform.address(), "0", id, "c=digest,t=ateneo,d=16000,k=" + key + ",dest=7", "state") !=
-        "+OK")
-        throw CannotRun("the message is not taken on");
-    if (!wait_for(5000, [&] { return !zones_of(id).empty(); })) throw CannotRun("no call to east-1");
 
-    // The directory replaces the silent endpoint by one in another zone.
-    sleep_ms(1000);
-    agent.publish({member("east-1", east.address(), "east", "carrier", kCell, "terminated"),
-        member("north-1", north.address(), "north", "carrier", kCell)});
-    if (!wait_for(8000, [&] { return agent.told() == agent.revision(); }))
-        throw CannotRun("the list is not asked for");
-    sleep_ms(1000);
+    // The earlier message runs out of time; its call goes on.
+    if (!wait_for(taken_at + 7000 - now_ms(), [&] { return !agent.notices(earlier).empty(); }))
+        throw CannotRun("the earlier message has not ended");
+    sleep_ms(300);
+    if (time_of(ended, earlier) >= 0) throw CannotRun("the call of the earlier message has ended with it");
+    if (time_of(begun, later) >= 0) throw CannotRun("the later message was sent before the disruption");
 
     if (trouble) platform.replace(old);
-    // Until the message has ended and its notice is no longer due.
-    wait_for(sent_at + kTime_ms + 2000 - now_ms(),
-        [&] { return !agent.notices(id).empty() || zones_of(id).size() > 1; });
+    wait_for(20000, [&] { return time_of(begun, later) >= 0 && time_of(ended, earlier) >= 0; });
     sleep_ms(300);
     platform.record_log();
 
-    bool held = true;
-    for (const std::string& zone : zones_of(id)) held = held && zone == "east";
-    const bool ended = !agent.notices(id).empty();
-    record.line(std::string("the message ran ") + std::to_string(zones_of(id).size()) + " times, " +
-                (ended ? "and ended with a notice" : "and has no notice"));
-    if (held && !ended) throw CannotRun("the message has not ended");
-    return held;
+    const double later_begun = time_of(begun, later), earlier_ended = time_of(ended, earlier);
+    if (later_begun < 0 || earlier_ended < 0) throw CannotRun("the later message was not sent");
+    record.line("the later message was sent " + std::to_string(later_begun - earlier_ended) +
+                " ms after the end of the call with the earlier one");
+    return later_begun >= earlier_ended - 20;  // the stand-ins' own lateness
 }
 
 }  // namespace
