--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -37,7 +37,7 @@
  "worth_by":"request"})");
 }
 
-bool rule_held(bool trouble) {
+void run(bool trouble) {
     const std::string id = "9b1f03aa5c7e2d41", key = "5c0f6e1a2b3d4c59";
     std::mutex mutex;
     std::map<std::string, std::vector<std::string>> runs;  // the zones whose endpoints ran a message
@@ -90,7 +90,7 @@
     const auto publish = [&](const std::vector<Json>& entries) {
         agent.publish(entries);
         if (!wait_for(8000, [&] { return agent.told() == agent.revision(); }))
-            throw CannotRun("the list is not asked for");
+            cannot_run("the list is not asked for");
     };
     publish({member("east-1", east.address(), "east", "carrier", kCell)});
     sleep_ms(200);
@@ -98,8 +98,8 @@
     const std::string fields =
         "c=digest,t=ateneo,d=" + std::to_string(static_cast<int>(kTime_ms)) + ",k=" + key + ",dest=7";
     if (hand_in(platform.address(), "0", id, fields, "state") != "+OK")
-        throw CannotRun("the message is not taken on");
-    if (!wait_for(5000, [&] { return calls == 1; })) throw CannotRun("no call to east-1");
+        cannot_run("the message is not taken on");
+    if (!wait_for(5000, [&] { return calls == 1; })) cannot_run("no call to east-1");
 
     // The directory replaces the endpoint, which finishes what it has, by one in another zone. Meanwhile the
     // process is killed, and started again 0.6 s later.
@@ -123,10 +123,10 @@
     bool held = true;
     for (const std::string& zone : zones_of(id)) held = held && zone == "east";
     record.line("the message ran " + std::to_string(zones_of(id).size()) + " times");
-    if (held && !delivered && agent.notices(id).empty()) throw CannotRun("the message has not ended");
-    return held;
+    if (held && !delivered && agent.notices(id).empty()) cannot_run("the message has not ended");
+    judge(held);
 }
 
 }  // namespace
 
-int main(int argc, char** argv) { run_case(argc, argv, rule_held); }
+int main(int argc, char** argv) { run_case(argc, argv, run); }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -78,7 +78,7 @@
     bool untried_at_restart = false;
 };
 
-bool rule_held(bool trouble) {
+void run(bool trouble) {
     Random random;
     std::mutex mutex;
     std::map<std::string, TakenOn> messages;
@@ -181,10 +181,10 @@
                 " were called in that time");
     std::cout << given_up << " of " << found << " given up with no call, " << newer_called
               << " newer ones called" << std::endl;
-    if (found < 20) throw CannotRun("too few messages wait");
-    return 2 * given_up <= found;
+    if (found < 20) cannot_run("too few messages wait");
+    judge(2 * given_up <= found);
 }
 
 }  // namespace
 
-int main(int argc, char** argv) { run_case(argc, argv, rule_held); }
+int main(int argc, char** argv) { run_case(argc, argv, run); }
--- a/review/common/stand_in.hpp
+++ b/review/common/stand_in.hpp
@@ -31,6 +31,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -38,11 +39,6 @@
 using Json = nlohmann::json;
 using Clock = std::chrono::steady_clock;
 
-/// The case could not run: run.sh exits with 2.
-struct CannotRun : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
 inline const Clock::time_point kStart = Clock::now();
 inline double now_ms() { return std::chrono::duration<double, std::milli>(Clock::now() - kStart).count(); }
 inline void sleep_ms(double ms) {
@@ -76,8 +72,27 @@
 };
 inline Record record;
 
+/// Ends every process that the case started; set by the platform.
+inline std::function<void()> end_processes = [] {};
+
+/// Ends the case with this status. The stand-ins' threads run until then, so nothing that they use is
+/// destroyed before.
+[[noreturn]] inline void finish(int status, const std::string& text) {
+    static std::mutex once;
+    once.lock();
+    end_processes();
+    record.line(text);
+    std::cout << text << std::endl;
+    _exit(status);
+}
+[[noreturn]] inline void cannot_run(const std::string& why) { finish(2, "the case could not run: " + why); }
+/// Ends the case with the verdict.
+[[noreturn]] inline void judge(bool rule_held) {
+    finish(rule_held ? 0 : 1, rule_held ? "RULE HELD" : "RULE BROKEN");
+}
+
 inline int checked(int result, const char* what) {
-    if (result < 0) throw CannotRun(std::string(what) + ": " + std::strerror(errno));
+    if (result < 0) cannot_run(std::string(what) + ": " + std::strerror(errno));
     return result;
 }
 
@@ -423,7 +438,7 @@
 public:
     explicit Platform(const Agent& agent) : client_listener_("127.0.0.1") {
         std::string name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
-        if (mkdtemp(name.data()) == nullptr) throw CannotRun("no temporary folder");
+        if (mkdtemp(name.data()) == nullptr) cannot_run("no temporary folder");
         folder_ = name;
         std::filesystem::create_directories(folder_ + "/state");
         std::filesystem::create_directories(folder_ + "/tmp");
@@ -433,12 +448,19 @@
         std::ifstream deploy("deploy/balancer.toml");
         for (std::string line; std::getline(deploy, line);)
             if (line.rfind("run = \"", 0) == 0) run_ = line.substr(7, line.find('"', 7) - 7);
-        if (run_.empty()) throw CannotRun("deploy/balancer.toml names no run");
+        if (run_.empty()) cannot_run("deploy/balancer.toml names no run");
+        end_processes = [this] { end_all(); };
     }
+    Platform(const Platform&) = delete;
     ~Platform() {
-        for (const pid_t pid : processes_) {
+        end_processes = [] {};
+        end_all();
+    }
+    void end_all() {
+        for (const pid_t pid : std::exchange(processes_, {})) {
             ::kill(pid, SIGKILL);
             waitpid(pid, nullptr, 0);
+            record.line("platform: process " + std::to_string(pid) + " is ended with the case");
         }
         std::error_code ignored;
         std::filesystem::remove_all(folder_, ignored);
@@ -473,20 +495,20 @@
             execl("/bin/sh", "sh", "-c", run_.c_str(), static_cast<char*>(nullptr));
             _exit(127);
         }
-        if (pid < 0) throw CannotRun("fork");
+        if (pid < 0) cannot_run("fork");
         processes_.insert(pid);
         record.line("platform: started process " + std::to_string(pid));
         return pid;
     }
     void wait_ready(double within_ms = 20000) {
         if (!wait_for(within_ms, [&] { return operate(management_, "GET", "/ready") == 200; }))
-            throw CannotRun("the program is not ready: " + log());
+            cannot_run("the program is not ready: " + log());
         record.line("platform: GET /ready says yes");
     }
     pid_t start_ready() {
         const pid_t pid = start();
         wait_ready();
-        if (ask(address(), {"PING"}, 2000) != "+PONG") throw CannotRun("no +PONG");
+        if (ask(address(), {"PING"}, 2000) != "+PONG") cannot_run("no +PONG");
         return pid;
     }
     void signal(pid_t pid, int number) {
@@ -534,25 +556,23 @@
     std::set<pid_t> processes_;
 };
 
-/// Runs a case and ends the process with its status. The argument is the folder of the case, for record.txt.
-[[noreturn]] inline void run_case(int argc, char** argv, const std::function<bool(bool trouble)>& rule_held) {
+/// Runs a case and ends the process with its status. The argument is the path of record.txt.
+[[noreturn]] inline void run_case(int argc, char** argv, const std::function<void(bool trouble)>& run) {
     if (argc < 2) _exit(2);
-    alarm(115);
-    record.open(std::string(argv[1]) + "/record.txt");
-    const char* trouble = std::getenv("TROUBLE");
-    const bool with_trouble = trouble == nullptr || std::string(trouble) != "0";
-    record.line(std::string("case with") + (with_trouble ? "" : "out") + " the disruption");
-    int status = 2;
+    record.open(argv[1]);
+    std::thread([] {
+        sleep_ms(110000);
+        cannot_run("it takes over 110 s");
+    }).detach();
+    const char* value = std::getenv("TROUBLE");
+    const bool trouble = value == nullptr || std::string(value) != "0";
+    record.line(std::string("case with") + (trouble ? "" : "out") + " the disruption");
     try {
-        status = rule_held(with_trouble) ? 0 : 1;
-        record.line(status == 0 ? "RULE HELD" : "RULE BROKEN");
-        std::cout << (status == 0 ? "rule held" : "rule broken") << std::endl;
+        run(trouble);
     } catch (const std::exception& error) {
-        record.line(std::string("the case could not run: ") + error.what());
-        std::cout << "could not run: " << error.what() << std::endl;
+        cannot_run(error.what());
     }
-    std::cout.flush();
-    _exit(status);  // the servers' threads still run
+    cannot_run("it came to no verdict");
 }
 
 }  // namespace review
