Keep a message out of other zones where its endpoint's removal follows a restart

Cause: Forwarder::apply_list replaced the entry of a removal by the directory's record or by an empty one. Fix: a zone may be unknown and then equals no other; the directory takes the place of an endpoint from the entry that removes it. The recovered line of the log names the endpoint of the earlier attempt.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -94,13 +94,13 @@
 struct ListEntry {
     EndpointId endpoint = 0;
     DestinationId destination = 0;
-    std::size_t zone = 0;
+    std::optional<std::size_t> zone{};  ///< empty if it is not known
     std::size_t kind = 0;
     double agreed_rate_per_s = 0.0;  ///< calls a second from all senders, if Settings::listed_rates
     Condition condition = Condition::Ready;
 };
 /// A list of endpoints from the registry. Cached and Full replace the list, Delta changes single entries, and
-/// Failed leaves the list as it is.
+/// Failed leaves the list as it is. What is known of an endpoint but its condition stays when it is removed.
 struct ListEvent {
     ListUpdateKind kind = ListUpdateKind::Full;
     std::vector<ListEntry> entries;
--- a/src/net/endpoint_directory.cpp
+++ b/src/net/endpoint_directory.cpp
@@ -38,7 +38,7 @@
 
 void EndpointDirectory::forget(EndpointId id) {
     const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second.destination) return;
+    if (found == entries_.end() || found->second.listed) return;
     remember(found->second.name);
     ids_.erase(found->second.name);
     entries_.erase(found);
@@ -52,25 +52,30 @@
     if (former_names_.size() < kMaxFormerNames) former_names_.insert(name);
 }
 
+void EndpointDirectory::set_place(Entry& entry, const EndpointRecord& endpoint) {
+    entry.destination = endpoint.destination;
+    entry.zone = &*zone_and_kind_names_.insert(endpoint.zone).first;
+    entry.kind = &*zone_and_kind_names_.insert(endpoint.kind).first;
+    entry.rate = endpoint.rate;
+}
+
 void EndpointDirectory::set_listed(Entry& entry, const EndpointRecord& endpoint) {
-    if (!entry.destination) ++listed_count_;
-    if (entry.destination != endpoint.destination) {
+    if (!entry.listed) ++listed_count_;
+    if (!entry.listed || entry.destination != endpoint.destination) {
         ++endpoint_counts_[endpoint.destination];
         empty_since_.erase(endpoint.destination);
     }
-    entry.destination = endpoint.destination;
+    entry.listed = true;
+    set_place(entry, endpoint);
     entry.address = endpoint.address;
-    entry.zone = &*zone_and_kind_names_.insert(endpoint.zone).first;
-    entry.kind = &*zone_and_kind_names_.insert(endpoint.kind).first;
-    entry.rate = endpoint.rate;
     entry.condition = endpoint.condition;
     entry.last_comparison = comparison_;
 }
 
 void EndpointDirectory::set_unlisted(Entry& entry, Clock::time_point now) {
-    if (!entry.destination) return;
+    if (!std::exchange(entry.listed, false)) return;
     --listed_count_;
-    remove_from_destination(*std::exchange(entry.destination, std::nullopt), now);
+    remove_from_destination(entry.destination, now);
 }
 
 void EndpointDirectory::remove_from_destination(std::int64_t destination, Clock::time_point now) {
@@ -95,15 +100,18 @@
     std::set<EndpointId> removed;
     if (update.complete)
         for (const auto& [id, entry] : entries_)
-            if (entry.destination) removed.insert(removed.end(), id);
+            if (entry.listed) removed.insert(removed.end(), id);
     for (const EndpointRecord& endpoint : update.endpoints) {
         const bool listed = endpoint.condition != Condition::Removed;
         if (!listed && !ids_.contains(endpoint.id)) continue;
         const EndpointId id = id_of(endpoint.id);
         listed ? removed.erase(id) : removed.insert(id).second;
-        if (!listed) continue;
         Entry& entry = entries_.at(id);
-        const auto before = entry.destination;
+        if (!listed) {
+            if (entry.zone == nullptr && endpoint.has_place) set_place(entry, endpoint);
+            continue;
+        }
+        const auto before = entry.listed ? std::optional(entry.destination) : std::nullopt;
         set_listed(entry, endpoint);
         if (before && before != endpoint.destination) remove_from_destination(*before, now);
     }
@@ -118,23 +126,28 @@
     endpoint.address = entry.address;
     endpoint.zone = *entry.zone;
     endpoint.kind = *entry.kind;
-    endpoint.destination = *entry.destination;
+    endpoint.destination = entry.destination;
     endpoint.rate = entry.rate;
-    endpoint.condition = entry.condition;
+    endpoint.condition = entry.listed ? entry.condition : Condition::Removed;
     return endpoint;
 }
 
 std::optional<EndpointRecord> EndpointDirectory::record_of(const std::string& name) const {
+    auto record = last_record_of(name);
+    return record && record->condition != Condition::Removed ? record : std::nullopt;
+}
+
+std::optional<EndpointRecord> EndpointDirectory::last_record_of(const std::string& name) const {
     const auto found = ids_.find(name);
     if (found == ids_.end()) return std::nullopt;
     const Entry& entry = entries_.at(found->second);
-    return entry.destination ? std::optional(record_of(entry)) : std::nullopt;
+    return entry.zone != nullptr ? std::optional(record_of(entry)) : std::nullopt;
 }
 
 std::vector<EndpointRecord> EndpointDirectory::records() const {
     std::vector<EndpointRecord> all;
     for (const auto& [id, entry] : entries_)
-        if (entry.destination) all.push_back(record_of(entry));
+        if (entry.listed) all.push_back(record_of(entry));
     return all;
 }
 
@@ -144,8 +157,8 @@
     if (found == ids_.end()) return removed;
     Entry& entry = entries_.at(found->second);
     entry.last_comparison = comparison_;
-    if (!entry.destination || removed) return !entry.destination && removed;
-    return *entry.destination == endpoint.destination && entry.address == endpoint.address &&
+    if (!entry.listed || removed) return !entry.listed && removed;
+    return entry.destination == endpoint.destination && entry.address == endpoint.address &&
            *entry.zone == endpoint.zone && *entry.kind == endpoint.kind && entry.rate == endpoint.rate &&
            entry.condition == endpoint.condition;
 }
@@ -155,7 +168,7 @@
     std::vector<EndpointRecord> removed;
     auto at = entries_.lower_bound(*from);
     for (; at != entries_.end() && count > 0; ++at, --count) {
-        if (!at->second.destination || at->second.last_comparison == comparison_) continue;
+        if (!at->second.listed || at->second.last_comparison == comparison_) continue;
         EndpointRecord endpoint = record_of(at->second);
         endpoint.condition = Condition::Removed;
         removed.push_back(std::move(endpoint));
--- a/src/net/endpoint_directory.hpp
+++ b/src/net/endpoint_directory.hpp
@@ -39,6 +39,9 @@
     std::optional<EndpointRecord> record_of(const std::string& name) const;
     /// The records of all listed endpoints.
     std::vector<EndpointRecord> records() const;
+    /// The record of an endpoint as it was last listed, with the condition Removed if it is not listed any
+    /// more, or nothing if its place is not known: an endpoint may be known by its name alone.
+    std::optional<EndpointRecord> last_record_of(const std::string& name) const;
 
     /// Starts a comparison with a list that is arriving and has not been applied yet.
     void begin_comparison() { ++comparison_; }
@@ -57,15 +60,17 @@
     /// Kept small because there may be hundreds of thousands.
     struct Entry {
         std::string name;
-        std::optional<std::int64_t> destination{};  // set while it is listed
+        std::int64_t destination = 0;
+        bool listed = false;
         Tcp::endpoint address{};
-        const std::string* zone = nullptr;  // points into zone_and_kind_names_
+        const std::string* zone = nullptr;  // points into zone_and_kind_names_; null: its place is not known
         const std::string* kind = nullptr;
         double rate = 0.0;
         cometspoke::Condition condition = cometspoke::Condition::Removed;
         std::uint32_t last_comparison = 0;  // the last comparison whose list named it
     };
 
+    void set_place(Entry& entry, const EndpointRecord& endpoint);
     void set_listed(Entry& entry, const EndpointRecord& endpoint);
     void set_unlisted(Entry& entry, Clock::time_point now);
     void remove_from_destination(std::int64_t destination, Clock::time_point now);
--- a/src/net/endpoint_list.cpp
+++ b/src/net/endpoint_list.cpp
@@ -58,6 +58,7 @@
     if (!member.is_object() || !member.contains("id") || !member["id"].is_string()) return std::nullopt;
     EndpointRecord endpoint;
     endpoint.id = member["id"].get<std::string>();
+    endpoint.has_place = false;
     return endpoint;
 }
 
--- a/src/net/endpoint_list.hpp
+++ b/src/net/endpoint_list.hpp
@@ -18,6 +18,7 @@
     std::int64_t destination = 0;
     double rate = 0.0;
     cometspoke::Condition condition = cometspoke::Condition::Removed;
+    bool has_place = true;  ///< false if zone, kind and destination are not known
 };
 /// A list from discovery, or one batch of a long list.
 struct EndpointList {
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -80,7 +80,9 @@
 // The handover messages between two processes.
 
 Json endpoint_to_json(const EndpointRecord& record) {
-    const char* phase = record.condition == Condition::Ready ? "in_service" : "terminating";
+    const char* phase = record.condition == Condition::Ready      ? "in_service"
+                        : record.condition == Condition::Draining ? "terminating"
+                                                                  : "terminated";
     return {{"id", record.id}, {"host_port", text_of(record.address)}, {"locality", record.zone},
         {"flavor", record.kind}, {"cell", record.destination}, {"phase", phase}, {"size", record.rate}};
 }
@@ -550,8 +552,9 @@
     for (const auto& [until, id] : ended_ids) remember_ended(id, until);
     for (const JournalEntry* entry : journal_->entries_by_arrival()) {
         const Message& message = entry->message;
-        log_.message(
-            MessageStep::Recovered, message.id, entry->notice ? "ended" : "held", {}, entry->attempts);
+        const auto possible_run = entry->first_possible_run();
+        log_.message(MessageStep::Recovered, message.id, entry->notice ? "ended" : "held",
+            possible_run ? printable(possible_run->endpoint) : "", entry->attempts);
         counters().add(Counter::MessagesRecovered);
         if (entry->notice) {
             remember_ended(message.id, message.deadline);
@@ -578,7 +581,9 @@
     }
 }
 
-void Forwarder::apply_list(EndpointList update, ListUpdateKind kind) {
+/// An endpoint that was removed keeps the zone, kind and destination that were known of it: calls and
+/// messages may still refer to it, and the fields of its last entry may be invalid.
+void Forwarder::complete_removals(EndpointList& update) {
     for (EndpointRecord& record : update.endpoints) {
         const bool known = (record.zone.empty() || config_.names.zones.contains(record.zone)) &&
                            (record.kind.empty() || config_.names.kinds.contains(record.kind));
@@ -587,24 +592,30 @@
                       << " of an unknown kind or place\n";
             directory_.remember(record.id);
             record.condition = Condition::Removed;
+            record.has_place = false;
         }
         if (record.condition != Condition::Removed) continue;
-        // The other fields of the entry may be invalid here, so those of the known record are used.
-        EndpointRecord removed = directory_.record_of(record.id).value_or(EndpointRecord());
-        removed.id = record.id;
-        removed.condition = Condition::Removed;
-        record = std::move(removed);
+        if (auto last_record = directory_.last_record_of(record.id)) record = std::move(*last_record);
+        record.condition = Condition::Removed;
     }
+}
+
+void Forwarder::apply_list(EndpointList update, ListUpdateKind kind) {
+    complete_removals(update);
     const auto removed_ids = directory_.apply(update, std::chrono::steady_clock::now());
     for (const EndpointId endpoint : removed_ids) endpoint_caller_.remove_endpoint(endpoint);
     ListEvent event;
     event.kind = kind;
     for (const EndpointRecord& record : update.endpoints) {
         const auto endpoint = directory_.find(record.id);
-        if (!endpoint) continue;  // The endpoint was removed before it was ever listed here.
+        // The endpoint was removed before it was ever listed here, or is known by its name alone.
+        if (!endpoint || !record.has_place) continue;
         ListEntry entry;
-        if (!record.zone.empty()) entry.zone = config_.names.zones.at(record.zone);
-        if (!record.kind.empty()) entry.kind = config_.names.kinds.at(record.kind);
+        // A removed endpoint may be of a zone or kind that this configuration lacks.
+        const auto zone = config_.names.zones.find(record.zone);
+        if (zone != config_.names.zones.end()) entry.zone = zone->second;
+        const auto endpoint_kind = config_.names.kinds.find(record.kind);
+        if (endpoint_kind != config_.names.kinds.end()) entry.kind = endpoint_kind->second;
         entry.endpoint = *endpoint;
         entry.destination = record.destination;
         entry.agreed_rate_per_s = record.rate;
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -78,6 +78,7 @@
     OperatorReply set_endpoint_disabled(const std::string& name, bool disabled);
     void drain();
     void undrain();
+    void complete_removals(EndpointList& update);
     void apply_list(EndpointList update, cometspoke::ListUpdateKind kind);
     void enqueue(Message message, cometspoke::Time time_left, ClientServer::Reply reply);
     void on_outcome(const cometspoke::OutcomeEvent& event);
--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -41,7 +41,8 @@
     void handle(const ListEvent& event, Time now) {
         for (const ListEntry& entry : event.entries) {
             if (entry.kind >= settings_.kinds.size()) throw std::invalid_argument("kind");
-            if (entry.zone >= std::max<std::size_t>(1, settings_.zones)) throw std::invalid_argument("zone");
+            if (entry.zone.value_or(0) >= std::max<std::size_t>(1, settings_.zones))
+                throw std::invalid_argument("zone");
         }
         if (event.kind == ListUpdateKind::Failed) {
             const double spread = std::uniform_real_distribution<double>(0.5, 1.0)(random_);
@@ -264,20 +265,14 @@
     void apply_entry(const ListEntry& entry, Time now) {
         const auto [position, inserted] = endpoints_.try_emplace(entry.endpoint);
         Endpoint& endpoint = position->second;
-        Destination& destination = find_or_add_destination(entry.destination);
-        if (inserted || endpoint.destination != entry.destination) {
-            if (!inserted) remove_from_destination(endpoint, entry.endpoint);
-            destination.in_flight += endpoint.in_flight;
-            assign_to_destination(endpoint, entry.destination);
-        }
-        endpoint.zone = entry.zone;
-        endpoint.kind = entry.kind;
+        if (inserted || entry.condition != Condition::Removed) place_endpoint(endpoint, entry, inserted);
         endpoint.condition = entry.condition;
+        Destination& destination = destinations_.at(endpoint.destination);
         if (entry.condition == Condition::Removed)
             removed_endpoints_.insert(entry.endpoint), destination.endpoints.erase(entry.endpoint);
         else
             removed_endpoints_.erase(entry.endpoint), destination.endpoints.insert(entry.endpoint);
-        queue_.reopen(entry.destination);
+        queue_.reopen(endpoint.destination);
         if (!settings_.listed_rates) return;
         if (entry.agreed_rate_per_s > 0) destination.weight = entry.agreed_rate_per_s;
         RateLimiter& limiter = has_own_limiter(endpoint) ? endpoint.own_limiter : destination.shared_limiter;
@@ -289,6 +284,17 @@
         limiter.limit_tag = now - kInitialBurst + from_seconds(phase / own_limit_per_s(limiter, destination));
     }
 
+    void place_endpoint(Endpoint& endpoint, const ListEntry& entry, bool is_new) {
+        Destination& destination = find_or_add_destination(entry.destination);
+        if (is_new || endpoint.destination != entry.destination) {
+            if (!is_new) remove_from_destination(endpoint, entry.endpoint);
+            destination.in_flight += endpoint.in_flight;
+            assign_to_destination(endpoint, entry.destination);
+        }
+        endpoint.zone = entry.zone;
+        endpoint.kind = entry.kind;
+    }
+
     Destination& find_or_add_destination(DestinationId id) {
         const auto [position, inserted] = destinations_.try_emplace(id);
         if (inserted) destinations_without_endpoints_.insert(id);
@@ -555,8 +561,8 @@
     double endpoint_cost(const Endpoint& endpoint, Time now) const {
         double cost = endpoint.in_flight;
         if (!has_idle_connection(endpoint, now)) cost += kNewConnectionCost_calls;
-        if (has_own_limiter(endpoint) && endpoint.zone < settings_.zone_costs.size())
-            cost += kZoneCostPoint_calls * settings_.zone_costs[endpoint.zone];
+        if (has_own_limiter(endpoint) && endpoint.zone && *endpoint.zone < settings_.zone_costs.size())
+            cost += kZoneCostPoint_calls * settings_.zone_costs[*endpoint.zone];
         else if (settings_.zone && endpoint.zone != *settings_.zone)
             cost += kOtherZoneCost_calls;
         if (endpoint.health != Health::Healthy) cost += 1.0;
@@ -602,11 +608,15 @@
         if (class_settings.delivery != DeliverySemantics::Deduplicated || !message.ambiguous_since ||
             class_settings.dedup_scope == DedupScope::All)
             return true;
-        if (class_settings.dedup_scope == DedupScope::Endpoint)
-            return message.ambiguous_endpoint == endpoint_id;
-        const auto first =
-            message.ambiguous_endpoint ? endpoints_.find(*message.ambiguous_endpoint) : endpoints_.end();
-        return first != endpoints_.end() && first->second.zone == endpoint.zone;
+        return message.ambiguous_endpoint == endpoint_id ||
+               (class_settings.dedup_scope == DedupScope::Zone &&
+                   is_in_zone_of(endpoint, message.ambiguous_endpoint));
+    }
+    // An endpoint whose zone is not known is not in the zone of any other.
+    bool is_in_zone_of(const Endpoint& endpoint, std::optional<EndpointId> other_id) const {
+        const auto other = other_id ? endpoints_.find(*other_id) : endpoints_.end();
+        if (other == endpoints_.end()) return false;
+        return settings_.zones == 0 || (endpoint.zone && endpoint.zone == other->second.zone);
     }
 
     // Calls that can be cancelled later and calls that must not be repeated get all the time until the
--- a/src/sender_state.hpp
+++ b/src/sender_state.hpp
@@ -41,7 +41,7 @@
 
 struct Endpoint {
     DestinationId destination = 0;
-    std::size_t zone = 0;
+    std::optional<std::size_t> zone{};  ///< empty if it is not known
     std::size_t kind = 0;
     Condition condition = Condition::Removed;
     RateLimiter own_limiter;             ///< used where KindSettings::limits_per_endpoint is set
--- /dev/null
+++ b/tests/restart_test.cpp
@@ -0,0 +1,82 @@
+// What a process that starts anew knows of the messages and endpoints of the one before it.
+#include "node_fixture.hpp"
+
+namespace lockgw {
+namespace {
+
+Json member_in(const std::string& zone, const std::string& id, const std::string& address,
+    const char* phase = "in_service") {
+    Json entry = member(id, address, 7, phase);
+    entry["locality"] = zone;
+    return entry;
+}
+
+class RestartTest : public NodeTest {
+protected:
+    RestartTest() {
+        Json& settings = node.config()["settings"];
+        settings["localities"] = {"a", "b"};
+        settings["classes"][1]["dedup_scope"] = "zone";
+        settings["classes"][1]["window_ms"] = 40000;
+        node.config()["known"] = list(1, true, {member("s-9", other_stub.address(), 9)});
+    }
+    void restart() {
+        node.kill();
+        node.wait();
+        node.start_ready();
+    }
+
+    HttpStub other_stub, same_zone_stub;
+    const std::string second = "00000000000000a2";
+};
+
+// Failure: after a kill a deduplicated message ran a second time in another zone. The endpoint of its first
+// attempt was known by its name alone, and the entry that told of its removal got the first zone.
+TEST_F(RestartTest, KeepsAMessageInTheZoneOfAnEndpointThatIsRemovedMeanwhile) {
+    node.start_ready();
+    send_endpoint_list(next_discovery_request("/v1/servers?from=1"),
+        list(2, false, {member_in("b", "s-1", endpoint_stub.address())}));
+    const Exchange first_watch = next_discovery_request("/v1/servers?from=2");
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "keyed"), "+OK");
+    endpoint_stub.next();  // the message may have run
+    restart();
+    send_endpoint_list(next_discovery_request("/v1/servers?from=1"),
+        list(3, false,
+            {member_in("b", "s-1", endpoint_stub.address(), "terminated"),
+                member_in("a", "s-2", other_stub.address())}));
+    const Exchange watch = next_discovery_request("/v1/servers?from=3");
+    Client new_client = node.client();
+    ASSERT_EQ(enqueue(new_client, second), "+OK");
+    const Exchange call = other_stub.next();
+    EXPECT_EQ(call.header("X-Call-Id"), second);
+    call.respond(200);
+    EXPECT_TRUE(other_stub.none_within(300ms));
+    send_endpoint_list(watch, list(4, false, {member_in("b", "s-3", same_zone_stub.address())}));
+    EXPECT_EQ(same_zone_stub.next().header("X-Call-Id"), id);
+}
+
+// Failure: an entry without a readable zone counted as one of the first zone.
+TEST_F(RestartTest, KeepsAMessageInAnUnknownZoneWhereTheRemovalCannotBeRead) {
+    node.start_ready();
+    send_endpoint_list(next_discovery_request("/v1/servers?from=1"),
+        list(2, false, {member_in("b", "s-1", endpoint_stub.address())}));
+    const Exchange first_watch = next_discovery_request("/v1/servers?from=2");
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "keyed"), "+OK");
+    endpoint_stub.next();
+    restart();
+    send_endpoint_list(next_discovery_request("/v1/servers?from=1"),
+        list(3, false,
+            {Json{{"id", "s-1"}, {"phase", "terminated"}}, member_in("a", "s-2", other_stub.address())}));
+    const Exchange watch = next_discovery_request("/v1/servers?from=3");
+    Client new_client = node.client();
+    ASSERT_EQ(enqueue(new_client, second), "+OK");
+    const Exchange call = other_stub.next();
+    EXPECT_EQ(call.header("X-Call-Id"), second);
+    call.respond(200);
+    EXPECT_TRUE(other_stub.none_within(300ms));
+}
+
+}  // namespace
+}  // namespace lockgw
