Hand over zone, kind and destination of endpoints that are no longer listed

Cause: an offer named the endpoint of an inherited call and not its place; Sender::Impl::handle(InheritedCall) added it with zone 0 and kind 0, so that a message followed zone 0, and a retry-after bound the endpoint alone. Fix: an offer carries the endpoints that are not listed any more; both directions of a handover tell them to the new module first. Both tests of InheritedCallTest failed on the program before.

--- a/src/net/endpoint_directory.cpp
+++ b/src/net/endpoint_directory.cpp
@@ -144,6 +144,18 @@
     return entry.zone != nullptr ? std::optional(record_of(entry)) : std::nullopt;
 }
 
+std::vector<EndpointRecord> EndpointDirectory::removed_records() const {
+    std::vector<EndpointRecord> removed;
+    for (const auto& [id, entry] : entries_)
+        if (!entry.listed && entry.zone != nullptr) removed.push_back(record_of(entry));
+    return removed;
+}
+
+void EndpointDirectory::add_removed(const EndpointRecord& endpoint) {
+    Entry& entry = entries_.at(id_of(endpoint.id));
+    if (entry.zone == nullptr) set_place(entry, endpoint);
+}
+
 std::vector<EndpointRecord> EndpointDirectory::records() const {
     std::vector<EndpointRecord> all;
     for (const auto& [id, entry] : entries_)
--- a/src/net/endpoint_directory.hpp
+++ b/src/net/endpoint_directory.hpp
@@ -42,6 +42,10 @@
     /// The record of an endpoint as it was last listed, with the condition Removed if it is not listed any
     /// more, or nothing if its place is not known: an endpoint may be known by its name alone.
     std::optional<EndpointRecord> last_record_of(const std::string& name) const;
+    /// The last records of all endpoints that are not listed any more and not forgotten yet.
+    std::vector<EndpointRecord> removed_records() const;
+    /// Adds an endpoint that is not listed any more, as it was last listed.
+    void add_removed(const EndpointRecord& endpoint);
 
     /// Starts a comparison with a list that is arriving and has not been applied yet.
     void begin_comparison() { ++comparison_; }
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -291,6 +291,9 @@
         apply_list(handed_over ? parse_endpoint_list(offer["list"], max_list_entries(config_))
                                : EndpointList{0, true, directory_.records()},
             ListUpdateKind::Cached);
+        for (const Json& member : offer.value("removed", Json::array()))
+            directory_.add_removed(parse_endpoint(member));
+        apply_list({0, false, directory_.removed_records()}, ListUpdateKind::Delta);
     });
     recover_messages(attempts);
     run_guarded([&] { observe_learned_state(offer.at("learned")); });
@@ -382,7 +385,7 @@
     const bool is_small = directory_.size() <= kMaxHandedOverEndpoints;
     last_offer_ = {{"former", directory_.former_names()}, {"whole", full_list_received_},
         {"learned", is_small ? learned_state_json() : Json::array()}, {"calls", active_calls_json()},
-        {"drained", drained_}};
+        {"drained", drained_}, {"removed", removed_endpoints_json(endpoint_caller_.active_calls())}};
     if (is_small) last_offer_["list"] = {{"revision", 0}, {"complete", true}, {"members", endpoints_json()}};
     return last_offer_;
 }
@@ -393,6 +396,20 @@
     return all;
 }
 
+/// Endpoints that are no longer listed, but that calls, messages or a retry-after may still refer to. Of very
+/// many only those with calls are handed over.
+Json Forwarder::removed_endpoints_json(const std::vector<EndpointCaller::ActiveCall>& active_calls) const {
+    std::set<std::string> with_calls;
+    for (const EndpointCaller::ActiveCall& call : active_calls)
+        if (const std::string* name = directory_.name_of(call.endpoint)) with_calls.insert(*name);
+    const std::vector<EndpointRecord> removed = directory_.removed_records();
+    const bool are_few = removed.size() <= kMaxHandedOverEndpoints;
+    Json all = Json::array();
+    for (const EndpointRecord& record : removed)
+        if (are_few || with_calls.contains(record.id)) all.push_back(endpoint_to_json(record));
+    return all;
+}
+
 void Forwarder::release_files() {
     if (!journal_->write_pending()) std::cerr << "handover: the journal lacks what could not be written\n";
     unrecorded_ends_.clear();  // The other process finds them ended, or ends them.
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -79,6 +79,7 @@
     void drain();
     void undrain();
     void complete_removals(EndpointList& update);
+    Json removed_endpoints_json(const std::vector<EndpointCaller::ActiveCall>& active_calls) const;
     void apply_list(EndpointList update, cometspoke::ListUpdateKind kind);
     void enqueue(Message message, cometspoke::Time time_left, ClientServer::Reply reply);
     void on_outcome(const cometspoke::OutcomeEvent& event);
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -241,6 +241,73 @@
     EXPECT_EQ(next_discovery_request("/v1/servers").request.target(), "/v1/servers");
 }
 
+// Two zones and two kinds: the endpoints of the kind "branch" share their limits. The call of a message is in
+// flight at an endpoint that leaves the list before the process is replaced.
+class InheritedCallTest : public HandoverTest {
+protected:
+    InheritedCallTest() {
+        Json& settings = node.config()["settings"];
+        settings["family_info"]["slots"] = 4;
+        settings["localities"] = {"a", "b"};
+        settings["kinds"] = {"shop", "branch"};
+        settings["family_info"]["routes_apart"] = {true, false};
+        settings["classes"][1]["dedup_scope"] = "zone";
+        settings["classes"][1]["window_ms"] = 40000;
+        node.config()["known"] = list(1, true, {member("s-99", other.address(), 99)});
+    }
+    static Json branch(const std::string& zone, const std::string& name, const HttpStub& stub) {
+        Json entry = member(name, stub.address(), 7);
+        entry["locality"] = zone;
+        entry["flavor"] = "branch";
+        return entry;
+    }
+    /// Returns the call that the new process inherits.
+    Exchange replace_with_call_in_flight(const std::string& message_class) {
+        node.start_ready();
+        send_endpoint_list(
+            next_discovery_request("/v1/servers?from=1"), list(5, true, {branch("b", "s-1", endpoint_stub)}));
+        Exchange watch = next_discovery_request("/v1/servers?from=5");
+        Client client = node.client();
+        EXPECT_EQ(enqueue(client, id, message_class), "+OK");
+        Exchange in_flight = endpoint_stub.next();
+        send_endpoint_list(watch, list(6, true, {branch("a", "s-2", other)}));
+        watches.push_back(next_discovery_request("/v1/servers?from=6"));
+        start_replacement();
+        return in_flight;
+    }
+
+    HttpStub other, same_zone;
+};
+
+// Failure: after a replacement a deduplicated message was sent to another zone. The endpoint of the inherited
+// call had left the list, and the new process put it into the first zone.
+TEST_F(InheritedCallTest, KeepsTheZoneOfAnEndpointThatHasLeftTheList) {
+    const Exchange in_flight = replace_with_call_in_flight("keyed");
+    ::kill(node.previous_pid(), SIGKILL);
+    node.wait_for_previous();
+    ASSERT_TRUE(node.logs("the process before has ended"));
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, second), "+OK");
+    const Exchange call = other.next();
+    EXPECT_EQ(message_id(call), second);
+    call.respond(200);
+    EXPECT_TRUE(other.none_within(300ms));
+    send_endpoint_list(next_discovery_request("/v1/servers"),
+        list(7, true, {branch("a", "s-2", other), branch("b", "s-3", same_zone)}));
+    EXPECT_EQ(message_id(same_zone.next()), id);
+}
+
+// Failure: a retry-after that came with an inherited call did not bind its destination. The endpoint had left
+// the list, and the new process gave it the first kind, whose endpoints have limits of their own.
+TEST_F(InheritedCallTest, KeepsTheKindOfAnEndpointThatHasLeftTheList) {
+    const Exchange in_flight = replace_with_call_in_flight("safe");
+    const auto refused_at = Clock::now();
+    in_flight.respond(429, "Retry-After: 1.5\r\n");
+    const Exchange call = other.next();
+    EXPECT_GE(Clock::now() - refused_at, 1500ms);
+    EXPECT_EQ(message_id(call), id);
+}
+
 TEST_F(HandoverTest, BindsItsOwnListenerWhenNoneIsInherited) {
     Node standalone(node.config());
     standalone.start_ready();
