Record and relay messages of one turn in the order of their arrival

Messages of one order key that one turn of the event loop took on changed places in a later restart or replacement. RestartTest.KeepsTheArrivalOrderOfMessagesOfOneTurn failed on the program before: after the kill the other message came first.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -425,7 +425,8 @@
     std::cerr << "handover: handed over\n";
     for (const OutcomeEvent& event : std::exchange(unreported_outcomes_, {}))
         handover_.send(to_handover_message(event));
-    for (const auto& [id, pending] : pending_enqueues_) handover_.send(to_handover_message(pending.message));
+    for (const PendingEnqueue* pending : pending_enqueues_by_arrival())
+        handover_.send(to_handover_message(pending->message));
     for (const auto& [number, relayed] : relayed_operator_calls_)
         handover_.send(to_handover_message(number, relayed.call));
     if (reload_pending_) handover_.send(kReloadMessage);
@@ -480,10 +481,21 @@
         handle_operator_call(relayed.call, relayed.reply);
 }
 
+/// The order matters to messages with one order key.
+std::vector<Forwarder::PendingEnqueue*> Forwarder::pending_enqueues_by_arrival() {
+    std::vector<PendingEnqueue*> sorted;
+    for (auto& [id, pending] : pending_enqueues_) sorted.push_back(&pending);
+    std::sort(sorted.begin(), sorted.end(),
+        [](const PendingEnqueue* a, const PendingEnqueue* b) { return a->arrival < b->arrival; });
+    return sorted;
+}
+
 void Forwarder::enqueue_pending_again() {
-    for (auto& [id, pending] : std::exchange(pending_enqueues_, {})) {
-        const Time time_left = pending.message.deadline - clock_.now();
-        enqueue(std::move(pending.message), time_left, std::move(pending.reply));
+    const auto sorted = pending_enqueues_by_arrival();
+    const auto kept = std::exchange(pending_enqueues_, {});  // The pointers stay valid.
+    for (PendingEnqueue* pending : sorted) {
+        const Time time_left = pending->message.deadline - clock_.now();
+        enqueue(std::move(pending->message), time_left, std::move(pending->reply));
     }
 }
 
@@ -660,7 +672,7 @@
     }
     if (role_ == Role::Offered || role_ == Role::Released) {  // The reply comes from the next owner.
         if (role_ == Role::Released) handover_.send(to_handover_message(message));
-        pending_enqueues_.emplace(id, PendingEnqueue{std::move(message), std::move(reply)});
+        pending_enqueues_.emplace(id, PendingEnqueue{std::move(message), std::move(reply), ++enqueue_count_});
         return;
     }
     // A client that lost its connection enqueues the same id again; the message is already held or has ended.
@@ -676,7 +688,7 @@
     event.destination = message.destination;
     resolve_class(message, event);
     event.time_left = time_left;
-    pending_enqueues_.emplace(id, PendingEnqueue{std::move(message), std::move(reply)});
+    pending_enqueues_.emplace(id, PendingEnqueue{std::move(message), std::move(reply), ++enqueue_count_});
     observe(event);
 }
 
@@ -757,11 +769,14 @@
         else if (const auto* fail = std::get_if<Fail>(&action))
             ends.emplace(fail->message, resp::error("ERR out of time"));
     }
-    for (const auto& [id, pending] : std::exchange(pending_enqueues_, {}))
+    const auto sorted = pending_enqueues_by_arrival();
+    const auto kept = std::exchange(pending_enqueues_, {});  // The pointers stay valid.
+    for (const PendingEnqueue* pending : sorted)
         run_guarded([&] {
+            const MessageId id = pending->message.id;
             const auto end = ends.find(id);
             if (end != ends.end()) log_.message(MessageStep::Refused, id, "decision");
-            pending.reply(end != ends.end() ? end->second : accept_message(pending.message));
+            pending->reply(end != ends.end() ? end->second : accept_message(pending->message));
         });
 }
 
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -43,6 +43,7 @@
     struct PendingEnqueue {
         Message message;
         ClientServer::Reply reply;
+        std::uint64_t arrival = 0;
     };
 
     using AttemptId = std::pair<MessageId, std::uint32_t>;
@@ -71,6 +72,7 @@
     void send_held_counts();
     void relay(const OperatorCall& call, Management::Reply reply);
     void enqueue_pending_again();
+    std::vector<PendingEnqueue*> pending_enqueues_by_arrival();
     bool resolve_class(const Message& message, cometspoke::MessageEvent& event) const;
     void recover_messages(const std::set<AttemptId>& active_attempts);
     void handle_operator_call(const OperatorCall& call, const Management::Reply& reply);
@@ -147,6 +149,7 @@
     bool iteration_due_ = false, finishing_ = false, write_retry_due_ = false;
     bool drained_ = false;  // Set by operators; the process keeps running.
     std::map<MessageId, PendingEnqueue> pending_enqueues_;
+    std::uint64_t enqueue_count_ = 0;
     bool full_list_received_ = false;            // Discovery has sent all endpoints once.
     std::chrono::microseconds clock_offset_{0};  // Wall clock minus monotonic clock, when last read.
     std::set<MessageId> unrecorded_ends_;        // Not yet recorded, and so not notified.
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -78,5 +78,30 @@
     EXPECT_TRUE(other_stub.none_within(300ms));
 }
 
+// Failure: messages of one key that were taken on in one turn of the event loop changed places after a kill,
+// since they were recorded by id.
+TEST_F(RestartTest, KeepsTheArrivalOrderOfMessagesOfOneTurn) {
+    node.config()["settings"]["classes"][0]["sequential"] = true;
+    node.config()["known"] = list(1, true, {member("s-1", endpoint_stub.address(), 7)});
+    node.start_ready();
+    Client first_client = node.client(), second_client = node.client();
+    ASSERT_EQ(first_client.ask({"PING"}), "+PONG");
+    ASSERT_EQ(second_client.ask({"PING"}), "+PONG");
+    const auto request = [](const std::string& message) {
+        return "*5\r\n$7\r\nENQUEUE\r\n$16\r\n00000000000000c1\r\n$16\r\n" + message +
+               "\r\n$28\r\nc=safe,t=acme,d=30000,dest=7\r\n$1\r\nB\r\n";
+    };
+    ::kill(node.pid(), SIGSTOP);  // so that it reads both at once
+    first_client.send(request(id));
+    second_client.send(request(second));
+    ::kill(node.pid(), SIGCONT);
+    ASSERT_EQ(first_client.line(), "+OK");
+    ASSERT_EQ(second_client.line(), "+OK");
+    ASSERT_LT(second, id);
+    EXPECT_EQ(endpoint_stub.next().header("X-Call-Id"), id);
+    restart();
+    EXPECT_EQ(endpoint_stub.next().header("X-Call-Id"), id);
+}
+
 }  // namespace
 }  // namespace lockgw
