Hand over order keys of attempts whose message has ended, and keys that rest

Cause: Sender::handle(InheritedCall) took the key from the held message; an ended one is not held, so its attempt blocked no key. Related, each with a test of SequentialHandoverTest: a resting key lost its rest; a process that takes the folder back knew no keys of its own calls nor of those of the process that died; an attempt whose outcome came after the end of its message was handed over as in flight and held a slot until the old process ended. Fix: attempts carry their key, an offer the resting keys; after taking back all keys rest for settle_after_doubt_ms.

--- a/include/cometspoke/sender.hpp
+++ b/include/cometspoke/sender.hpp
@@ -189,12 +189,25 @@
 struct SettingsEvent {
     Settings settings;
 };
+/// An attempt without an outcome yet. It blocks the order key of its message, which may have ended before.
+struct InheritedAttempt {
+    MessageId message = 0;
+    std::uint32_t attempt = 0;
+    std::optional<std::uint64_t> key{};  ///< if empty, the key of the held message applies
+};
 /// A call in flight on a connection of another process of this sender. It counts against max_calls here, and
 /// its outcomes are observed here.
 struct InheritedCall {
     EndpointId endpoint = 0;
     Time age{0};
-    std::vector<std::pair<MessageId, std::uint32_t>> attempts;  ///< the attempts that have no outcome yet
+    std::vector<InheritedAttempt> attempts;
+};
+/// For the given time no message of the order key is sent, because an earlier one may still be running. A
+/// Sender that takes over observes these events before it observes the messages.
+struct KeyRestEvent {
+    std::optional<std::uint64_t> key;  ///< empty: all keys
+    Time remaining{0};
+    MessageId exempt_message = 0;  ///< a message of the key that may be sent all the same; 0: none
 };
 /// What a Sender has learned of one endpoint or destination, or (with neither) of all destinations, for the
 /// Sender that replaces it. Times are seconds relative to the call of learned_state(). The names in `values`
@@ -204,9 +217,9 @@
     std::optional<DestinationId> destination;
     std::map<std::string, double> values;
 };
-using Event =
-    std::variant<ListEvent, AdminDisableEvent, SettingsEvent, InheritedCall, LearnedState, MessageEvent,
-        StreamStarted, OutcomeEvent, RetryAfterEvent, AbandonedEvent, TimerFired, ProbeResult, PeerMessage>;
+using Event = std::variant<ListEvent, AdminDisableEvent, SettingsEvent, InheritedCall, KeyRestEvent,
+    LearnedState, MessageEvent, StreamStarted, OutcomeEvent, RetryAfterEvent, AbandonedEvent, TimerFired,
+    ProbeResult, PeerMessage>;
 
 // ---- actions ----
 
@@ -281,6 +294,10 @@
     bool may_start(MessageId message, std::uint32_t attempt, Time now) const;
     /// The state for another Sender that takes over. It observes this state after the list and the messages.
     std::vector<LearnedState> learned_state(Time now) const;
+    /// The keys that rest, for another Sender that takes over.
+    std::vector<KeyRestEvent> resting_keys(Time now) const;
+    /// The order key that an attempt without an outcome blocks, if its message has one.
+    std::optional<std::uint64_t> key_of_attempt(MessageId message, std::uint32_t attempt) const;
 
 private:
     class Impl;
--- a/src/key_sequencer.hpp
+++ b/src/key_sequencer.hpp
@@ -48,6 +48,18 @@
         blocked_keys_.insert(key);
     }
 
+    /// Blocks all keys until the given time, but for the messages that are exempt from the block of their
+    /// key.
+    void rest_all(Time until) { all_blocked_until_ = std::max(all_blocked_until_, until); }
+
+    /// Calls `visit(key, exempt id, end of the block)` for each key that is blocked now.
+    template <class Visit>
+    void visit_resting(Time now, Visit visit) const {
+        for (const Key key : blocked_keys_)
+            if (const auto found = keys_.find(key); found != keys_.end() && found->second.blocked_until > now)
+                visit(key, found->second.exempt_id, found->second.blocked_until);
+    }
+
     /// Returns when the message may be sent, or `never` while another message of its key is ahead of it or an
     /// attempt under the key is open.
     Time turn_of(Key key, Id id, Time never) const {
@@ -55,13 +67,13 @@
         if (found == keys_.end()) return never;
         const KeyState& state = found->second;
         if (state.open_attempts > 0 || state.waiting.empty() || state.waiting.front() != id) return never;
-        return state.exempt_id == id ? Time::min() : state.blocked_until;
+        return state.exempt_id == id ? Time::min() : std::max(state.blocked_until, all_blocked_until_);
     }
 
     /// Returns the earliest end of a block that holds back a message, or `never` if there is none. Blocks
     /// that have ended are dropped.
     Time next_turn(Time now, Time never) {
-        Time next = never;
+        Time next = all_blocked_until_ > now && !keys_.empty() ? all_blocked_until_ : never;
         std::erase_if(blocked_keys_, [&](Key key) {
             const auto found = keys_.find(key);
             if (found == keys_.end()) return true;
@@ -94,6 +106,7 @@
 
     Keys keys_;
     std::set<Key> blocked_keys_;
+    Time all_blocked_until_ = Time::min();
 };
 
 }  // namespace cometspoke
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -86,6 +86,18 @@
     return {{"id", record.id}, {"host_port", text_of(record.address)}, {"locality", record.zone},
         {"flavor", record.kind}, {"cell", record.destination}, {"phase", phase}, {"size", record.rate}};
 }
+/// An array of the message, the number of the attempt and, if there is one, the order key.
+Json attempt_to_json(const cometspoke::InheritedAttempt& attempt) {
+    Json json{attempt.message, attempt.attempt};
+    if (attempt.key) json.push_back(*attempt.key);
+    return json;
+}
+cometspoke::InheritedAttempt parse_attempt(const Json& json) {
+    cometspoke::InheritedAttempt attempt{
+        json.at(0).get<MessageId>(), json.at(1).get<std::uint32_t>(), std::nullopt};
+    if (json.size() > 2) attempt.key = json.at(2).get<std::uint64_t>();
+    return attempt;
+}
 Json to_handover_message(const OutcomeEvent& event) {
     Json fields{{"message", event.message}, {"attempt", event.attempt},
         {"outcome", static_cast<int>(event.outcome)}, {"terminal", event.terminal},
@@ -280,10 +292,10 @@
 
 /// Each part of the offer is applied on its own, because the messages in the journal must be recovered
 /// whatever fault another part contains.
-void Forwarder::take_over(const Json& offer, const std::vector<EndpointCaller::ActiveCall>& active_calls) {
+void Forwarder::take_over(const Json& offer, const std::vector<HandedOverCall>& calls) {
     std::set<AttemptId> attempts;
-    for (const EndpointCaller::ActiveCall& call : active_calls)
-        attempts.insert(call.attempts.begin(), call.attempts.end());
+    for (const HandedOverCall& call : calls)
+        for (const auto& attempt : call.attempts) attempts.emplace(attempt.message, attempt.attempt);
     run_guarded([&] {
         for (const Json& name : offer.at("former")) directory_.remember(name.get<std::string>());
         const bool handed_over = offer.contains("list");
@@ -295,14 +307,15 @@
             directory_.add_removed(parse_endpoint(member));
         apply_list({0, false, directory_.removed_records()}, ListUpdateKind::Delta);
     });
+    run_guarded([&] { observe_key_rests(offer.value("resting_keys", Json::array())); });
     recover_messages(attempts);
     run_guarded([&] { observe_learned_state(offer.at("learned")); });
-    observe_inherited_calls(active_calls);
+    observe_inherited_calls(calls);
 }
 
-void Forwarder::observe_inherited_calls(const std::vector<EndpointCaller::ActiveCall>& active_calls) {
+void Forwarder::observe_inherited_calls(const std::vector<HandedOverCall>& calls) {
     const auto time = std::chrono::steady_clock::now();
-    for (const EndpointCaller::ActiveCall& call : active_calls)
+    for (const HandedOverCall& call : calls)
         run_guarded([&] {
             observe(InheritedCall{
                 call.endpoint, std::chrono::duration_cast<Time>(time - call.started_at), call.attempts});
@@ -310,43 +323,77 @@
 }
 
 /// Returns the active calls of the previous process, with the endpoint ids of this process.
-std::vector<EndpointCaller::ActiveCall> Forwarder::parse_inherited_calls(const Json& calls) {
+std::vector<Forwarder::HandedOverCall> Forwarder::parse_inherited_calls(const Json& calls) {
     const auto time = std::chrono::steady_clock::now();
-    std::vector<EndpointCaller::ActiveCall> active_calls;
+    std::vector<HandedOverCall> inherited;
     for (const Json& call : calls) {
-        EndpointCaller::ActiveCall active_call;
-        active_call.endpoint = directory_.id_of(call.at("target").get<std::string>());
-        active_call.started_at = time - Time(call.at("age_us").get<std::int64_t>());
-        for (const Json& attempt : call.at("attempts")) {
-            active_call.attempts.emplace_back(
-                attempt.at(0).get<MessageId>(), attempt.at(1).get<std::uint32_t>());
-            inherited_attempts_.emplace(
-                active_call.attempts.back(), InheritedAttempt{active_call.endpoint, active_call.started_at});
+        HandedOverCall inherited_call;
+        inherited_call.endpoint = directory_.id_of(call.at("target").get<std::string>());
+        inherited_call.started_at = time - Time(call.at("age_us").get<std::int64_t>());
+        for (const Json& json : call.at("attempts")) {
+            const cometspoke::InheritedAttempt attempt = parse_attempt(json);
+            inherited_call.attempts.push_back(attempt);
+            inherited_attempts_.emplace(AttemptId(attempt.message, attempt.attempt),
+                InheritedAttempt{inherited_call.endpoint, inherited_call.started_at});
         }
-        active_calls.push_back(std::move(active_call));
+        inherited.push_back(std::move(inherited_call));
+    }
+    return inherited;
+}
+
+/// The calls of this process, with the order keys that they block.
+std::vector<Forwarder::HandedOverCall> Forwarder::active_calls() const {
+    std::vector<HandedOverCall> calls;
+    for (const EndpointCaller::ActiveCall& active : endpoint_caller_.active_calls()) {
+        HandedOverCall call{active.endpoint, active.started_at, {}};
+        for (const auto& [message, attempt] : active.attempts)
+            call.attempts.push_back({message, attempt, sender_.key_of_attempt(message, attempt)});
+        calls.push_back(std::move(call));
     }
-    return active_calls;
+    return calls;
 }
 
 Json Forwarder::active_calls_json() const {
     const auto time = std::chrono::steady_clock::now();
     std::set<AttemptId> listed;
     Json calls = Json::array();
-    const auto add = [&](const std::string& endpoint_name, auto age, const std::vector<AttemptId>& attempts) {
+    const auto add = [&](const std::string& endpoint_name, auto age,
+                         const std::vector<cometspoke::InheritedAttempt>& attempts) {
+        Json attempts_json = Json::array();
+        for (const auto& attempt : attempts) {
+            attempts_json.push_back(attempt_to_json(attempt));
+            listed.emplace(attempt.message, attempt.attempt);
+        }
         calls.push_back({{"target", endpoint_name}, {"age_us", std::chrono::duration_cast<Time>(age).count()},
-            {"attempts", attempts}});
-        listed.insert(attempts.begin(), attempts.end());
+            {"attempts", std::move(attempts_json)}});
     };
-    for (const EndpointCaller::ActiveCall& call : endpoint_caller_.active_calls())
+    for (const HandedOverCall& call : active_calls())
         if (const std::string* name = directory_.name_of(call.endpoint))
             add(*name, time - call.started_at, call.attempts);
-    // These attempts are started and not sent; their outcomes wait for a later event-loop iteration.
-    for (const auto& [id, entry] : journal_->entries())
-        if (entry.open_attempt && entry.attempts > 0 && !listed.contains({id, entry.attempts - 1}))
-            add(entry.open_attempt->endpoint, Time(0), {{id, entry.attempts - 1}});
+    // These attempts are started and not sent; their outcomes wait for a later event-loop iteration. The
+    // outcome of an attempt that comes after the end of its message is not in the journal.
+    for (const auto& [id, entry] : journal_->entries()) {
+        if (!entry.open_attempt || entry.attempts == 0 || entry.notice) continue;
+        const std::uint32_t attempt = entry.attempts - 1;
+        if (!listed.contains({id, attempt}))
+            add(entry.open_attempt->endpoint, Time(0), {{id, attempt, sender_.key_of_attempt(id, attempt)}});
+    }
     return calls;
 }
 
+Json Forwarder::key_rests_json() const {
+    Json rests = Json::array();
+    for (const cometspoke::KeyRestEvent& rest : sender_.resting_keys(now()))
+        rests.push_back(
+            {{"key", *rest.key}, {"exempt", rest.exempt_message}, {"for_us", rest.remaining.count()}});
+    return rests;
+}
+void Forwarder::observe_key_rests(const Json& rests) {
+    for (const Json& rest : rests)
+        observe(cometspoke::KeyRestEvent{rest.at("key").get<std::uint64_t>(),
+            Time(rest.at("for_us").get<std::int64_t>()), rest.at("exempt").get<MessageId>()});
+}
+
 Json Forwarder::learned_state_json() const {
     Json all = Json::array();
     for (const LearnedState& state : sender_.learned_state(now())) {
@@ -385,7 +432,7 @@
     const bool is_small = directory_.size() <= kMaxHandedOverEndpoints;
     last_offer_ = {{"former", directory_.former_names()}, {"whole", full_list_received_},
         {"learned", is_small ? learned_state_json() : Json::array()}, {"calls", active_calls_json()},
-        {"drained", drained_}, {"removed", removed_endpoints_json(endpoint_caller_.active_calls())}};
+        {"drained", drained_}, {"removed", removed_endpoints_json()}, {"resting_keys", key_rests_json()}};
     if (is_small) last_offer_["list"] = {{"revision", 0}, {"complete", true}, {"members", endpoints_json()}};
     return last_offer_;
 }
@@ -398,9 +445,9 @@
 
 /// Endpoints that are no longer listed, but that calls, messages or a retry-after may still refer to. Of very
 /// many only those with calls are handed over.
-Json Forwarder::removed_endpoints_json(const std::vector<EndpointCaller::ActiveCall>& active_calls) const {
+Json Forwarder::removed_endpoints_json() const {
     std::set<std::string> with_calls;
-    for (const EndpointCaller::ActiveCall& call : active_calls)
+    for (const EndpointCaller::ActiveCall& call : endpoint_caller_.active_calls())
         if (const std::string* name = directory_.name_of(call.endpoint)) with_calls.insert(*name);
     const std::vector<EndpointRecord> removed = directory_.removed_records();
     const bool are_few = removed.size() <= kMaxHandedOverEndpoints;
@@ -465,10 +512,13 @@
         observe(TimerFired{});
     } else {
         open_journal();
+        const std::vector<HandedOverCall> calls = active_calls();
         sender_ = Sender(config_.settings, config_.seed);
         role_ = Role::Owner;
         unreported_outcomes_.clear();
-        take_over(last_offer_, endpoint_caller_.active_calls());
+        // The other process may have had calls in flight with any key. They ended with it at the latest.
+        observe(cometspoke::KeyRestEvent{std::nullopt, config_.settings.ambiguous_settle_time});
+        take_over(last_offer_, calls);
         run_guarded([this] { peer_channel_.start(); });
     }
     if (!drained_ && !finishing_) clients_.set_closing_between_requests(false);
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -63,9 +63,18 @@
     void take_back(bool offered);
     void receive(const Json& handover_message);
     void predecessor_ended();
-    void take_over(const Json& offer, const std::vector<EndpointCaller::ActiveCall>& active_calls);
-    void observe_inherited_calls(const std::vector<EndpointCaller::ActiveCall>& active_calls);
-    std::vector<EndpointCaller::ActiveCall> parse_inherited_calls(const Json& calls);
+    /// A call whose outcome is still to come while the process that decides changes.
+    struct HandedOverCall {
+        EndpointId endpoint = 0;
+        std::chrono::steady_clock::time_point started_at{};
+        std::vector<cometspoke::InheritedAttempt> attempts;
+    };
+    void take_over(const Json& offer, const std::vector<HandedOverCall>& calls);
+    void observe_key_rests(const Json& rests);
+    Json key_rests_json() const;
+    void observe_inherited_calls(const std::vector<HandedOverCall>& calls);
+    std::vector<HandedOverCall> parse_inherited_calls(const Json& calls);
+    std::vector<HandedOverCall> active_calls() const;
     Json active_calls_json() const;
     void observe_learned_state(const Json& states);
     Json learned_state_json() const;
@@ -81,7 +90,7 @@
     void drain();
     void undrain();
     void complete_removals(EndpointList& update);
-    Json removed_endpoints_json(const std::vector<EndpointCaller::ActiveCall>& active_calls) const;
+    Json removed_endpoints_json() const;
     void apply_list(EndpointList update, cometspoke::ListUpdateKind kind);
     void enqueue(Message message, cometspoke::Time time_left, ClientServer::Reply reply);
     void on_outcome(const cometspoke::OutcomeEvent& event);
--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -163,22 +163,34 @@
         Endpoint& endpoint = position->second;
         if (inserted) {
             removed_endpoints_.insert(event.endpoint);
-            const auto message = messages_.find(event.attempts.front().first);
+            const auto message = messages_.find(event.attempts.front().message);
             assign_to_destination(endpoint, message != messages_.end() ? message->second.destination : 0);
         }
         const std::uint64_t call_id = ++call_count_;
         calls_.emplace(call_id, Call{event.endpoint, now - event.age, event.attempts.size()});
         ++endpoint.in_flight;
         ++destinations_.at(endpoint.destination).in_flight;
-        for (const auto& [id, attempt] : event.attempts) {
-            // The message may have ended while its call goes on.
-            const auto found = messages_.find(id);
-            const bool is_held = found != messages_.end();
-            const auto key = is_held ? found->second.key : std::nullopt;
-            attempts_.emplace(std::pair(id, attempt), Attempt{call_id, key, false});
-            if (is_held) ++found->second.open_attempts, update_due_times(id, found->second, now);
-            if (key) keys_.begin_attempt(*key);
-        }
+        for (const InheritedAttempt& attempt : event.attempts) inherit_attempt(attempt, call_id, now);
+    }
+
+    void handle(const KeyRestEvent& event, Time now) {
+        if (event.key)
+            keys_.rest(*event.key, event.exempt_message, now + event.remaining);
+        else
+            keys_.rest_all(now + event.remaining);
+    }
+
+    std::vector<KeyRestEvent> resting_keys(Time now) const {
+        std::vector<KeyRestEvent> rests;
+        keys_.visit_resting(now, [&](std::uint64_t key, MessageId exempt_message, Time until) {
+            rests.push_back({key, until - now, exempt_message});
+        });
+        return rests;
+    }
+
+    std::optional<std::uint64_t> key_of_attempt(MessageId message, std::uint32_t attempt) const {
+        const auto found = attempts_.find({message, attempt});
+        return found != attempts_.end() ? found->second.key : std::nullopt;
     }
 
     void handle(const LearnedState& event, Time now) {
@@ -351,6 +363,16 @@
         queue_.activate(id,
             std::max(destination.share_tag, now - from_seconds(kMaxIdleCredit_calls / destination.weight)));
     }
+    // The message may have ended while its call goes on; its attempt blocks the key all the same.
+    void inherit_attempt(const InheritedAttempt& attempt, std::uint64_t call_id, Time now) {
+        const auto found = messages_.find(attempt.message);
+        const bool is_held = found != messages_.end();
+        const auto key = is_held ? found->second.key : attempt.key;
+        attempts_.emplace(std::pair(attempt.message, attempt.attempt), Attempt{call_id, key, false});
+        if (is_held) ++found->second.open_attempts, update_due_times(attempt.message, found->second, now);
+        if (key) keys_.begin_attempt(*key);
+    }
+
     // The earliest time at which one of the endpoints of the destination may be open.
     Time closed_until(const Destination& destination, Time now) const {
         Time until = kNever;
@@ -1251,6 +1273,10 @@
     std::visit([&](const auto& concrete_event) { impl_->handle(concrete_event, now); }, event);
 }
 std::vector<LearnedState> Sender::learned_state(Time now) const { return impl_->learned_state(now); }
+std::vector<KeyRestEvent> Sender::resting_keys(Time now) const { return impl_->resting_keys(now); }
+std::optional<std::uint64_t> Sender::key_of_attempt(MessageId message, std::uint32_t attempt) const {
+    return impl_->key_of_attempt(message, attempt);
+}
 std::vector<Action> Sender::decide(Time now) { return impl_->decide(now); }
 bool Sender::may_start(MessageId message, std::uint32_t attempt, Time now) const {
     return impl_->may_start(message, attempt, now);
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -308,6 +308,127 @@
     EXPECT_EQ(message_id(call), id);
 }
 
+// The class "unsafe" is sequential, and two messages share a call. `id` and `second` have one order key.
+class SequentialHandoverTest : public HandoverTest {
+protected:
+    SequentialHandoverTest() {
+        Json& settings = node.config()["settings"];
+        settings["classes"][2]["sequential"] = true;
+        settings["family_info"]["slots"] = 1;
+        settings["family_info"]["per_call"] = {2};
+        settings["contract"]["settle_after_doubt_ms"] = std::chrono::milliseconds(kSettleTime).count();
+    }
+    static std::string ordered_request(
+        const std::string& order_key, const std::string& message, std::chrono::milliseconds time_left) {
+        const std::string fields = "c=unsafe,t=acme,d=" + std::to_string(time_left.count()) + ",dest=7";
+        std::string bytes = "*5\r\n";
+        for (const std::string& word :
+            {std::string("ENQUEUE"), order_key, message, fields, std::string("BODY")})
+            bytes += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
+        return bytes;
+    }
+    /// Ends `id` while its call goes on, since the call also carries `third`. `second` waits for that call.
+    Exchange end_first_message_during_its_call() {
+        node.start_ready();
+        Client client = node.client();
+        client.send(ordered_request(blocking, blocking, 30s));  // takes the only slot
+        EXPECT_EQ(client.line(), "+OK");
+        const Exchange blocking_call = endpoint_stub.next();
+        client.send(ordered_request(key, id, 1500ms));
+        EXPECT_EQ(client.line(), "+OK");
+        client.send(ordered_request(other_key, third, 30s));
+        EXPECT_EQ(client.line(), "+OK");
+        blocking_call.respond(200);
+        Exchange in_flight = endpoint_stub.next();
+        node.config()["settings"]["family_info"]["slots"] = 4;
+        node.reload(node.config().dump());
+        EXPECT_TRUE(node.logs("configuration read anew"));
+        EXPECT_EQ(in_flight.request.target(), "/v1/messages:batch");
+        list_second_endpoint();
+        client.send(ordered_request(key, second, 30s));
+        EXPECT_EQ(client.line(), "+OK");
+        EXPECT_EQ(notices(next_discovery_request("/reports"))[0]["ref"], id);
+        return in_flight;
+    }
+    /// The first one is probed only seldom after a call without an answer.
+    void list_second_endpoint() {
+        send_endpoint_list(next_discovery_request("/v1/servers?from=1"),
+            list(2, false, {member("s-2", other.address(), 7)}));
+        watches.push_back(next_discovery_request("/v1/servers?from=2"));
+    }
+
+    HttpStub other;
+    static constexpr auto kSettleTime = 1500ms;
+    const std::string key = "00000000000000c1", other_key = "00000000000000c2", blocking = "00000000000000b1";
+};
+
+// Failure: the process that took over sent a message while a call with an earlier one of its key was still in
+// flight. The earlier one had ended, and its attempt was handed over without its key.
+TEST_F(SequentialHandoverTest, WaitsForTheCallOfAMessageThatHasEnded) {
+    const Exchange in_flight = end_first_message_during_its_call();
+    start_replacement();
+    EXPECT_TRUE(other.none_within(300ms));
+    const auto ended_at = Clock::now();
+    ::kill(node.previous_pid(), SIGKILL);
+    node.wait_for_previous();
+    EXPECT_EQ(message_id(other.next()), second);
+    EXPECT_GE(Clock::now() - ended_at, kSettleTime);
+}
+
+// Failure: the same in the old process, once it had taken the folder back from a new one that was killed.
+TEST_F(SequentialHandoverTest, WaitsForTheCallOfAMessageThatHasEndedAfterTakingBack) {
+    const Exchange in_flight = end_first_message_during_its_call();
+    start_replacement();
+    node.kill();
+    node.wait();
+    node.return_to_previous();
+    ASSERT_TRUE(wait_until_ready(old_management)) << node.log();
+    EXPECT_TRUE(other.none_within(kSettleTime + 300ms));
+    in_flight.respond(500);
+    EXPECT_EQ(message_id(other.next()), second);
+}
+
+// Failure: a key that rested after an ambiguous attempt no longer rested in the process that took over.
+TEST_F(SequentialHandoverTest, KeepsTheRestOfAKey) {
+    node.start_ready();
+    Client client = node.client();
+    client.send(ordered_request(key, id, 600ms));
+    ASSERT_EQ(client.line(), "+OK");
+    const Exchange unanswered = endpoint_stub.next();
+    list_second_endpoint();
+    client.send(ordered_request(key, second, 30s));
+    ASSERT_EQ(client.line(), "+OK");
+    ASSERT_EQ(notices(next_discovery_request("/reports"))[0]["ref"], id);
+    const auto ended_at = Clock::now();
+    start_replacement();
+    EXPECT_EQ(message_id(other.next()), second);
+    EXPECT_GE(Clock::now() - ended_at, kSettleTime - 100ms);  // the notice came shortly after the end
+    // The only slot is free: the call whose outcome came after the end of its message is not handed over.
+    EXPECT_LT(Clock::now() - ended_at, 8s);
+}
+
+// Failure: once the new process was killed, a message was sent right after a call of that process that may
+// still run.
+TEST_F(SequentialHandoverTest, LetsKeysRestAfterTakingBack) {
+    node.start_ready();
+    start_replacement();
+    Client client = node.client();
+    client.send(ordered_request(key, id, 600ms));
+    ASSERT_EQ(client.line(), "+OK");
+    const Exchange unanswered = endpoint_stub.next();
+    while (notices(next_discovery_request("/reports"))[0]["ref"] != id) continue;
+    const auto killed_at = Clock::now();
+    node.kill();
+    node.wait();
+    node.return_to_previous();
+    ASSERT_TRUE(wait_until_ready(old_management)) << node.log();
+    Client new_client = node.client();
+    new_client.send(ordered_request(key, second, 30s));
+    ASSERT_EQ(new_client.line(), "+OK");
+    EXPECT_EQ(message_id(endpoint_stub.next()), second);
+    EXPECT_GE(Clock::now() - killed_at, kSettleTime);
+}
+
 TEST_F(HandoverTest, BindsItsOwnListenerWhenNoneIsInherited) {
     Node standalone(node.config());
     standalone.start_ready();
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -127,6 +127,53 @@
     rig.pass(ms(3000), ms(100));
 }
 
+// The attempt is of a message that has ended. Its key is blocked until its outcome, and rests after it.
+TEST(Successor, AnInheritedAttemptBlocksItsKey) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.arrive(2, 1, kSequential, 7);
+    rig.sender.observe(InheritedCall{0, ms(50), {{1, 0, 7}}}, rig.now);
+    EXPECT_TRUE(rig.pass(ms(300)).empty());
+    rig.outcome(Send{1, 0}, Outcome::TimedOut, 0);
+    const Time ended_at = rig.now;
+    const auto next = rig.pass(ms(2000));
+    ASSERT_FALSE(next.empty());
+    EXPECT_EQ(next[0].second.message, 2u);
+    EXPECT_GE(next[0].first - ended_at, make_settings().ambiguous_settle_time);
+}
+
+TEST(Successor, KeepsResting) {
+    Rig before;
+    before.list(0, 1);
+    before.arrive(1, 1, kSequential, 7, ms(200));
+    before.decide();
+    before.pass(ms(250));
+    before.outcome(Send{1, 0}, Outcome::TimedOut, 0);
+    const auto rests = before.sender.resting_keys(before.now);
+    ASSERT_EQ(rests.size(), 1u);
+    EXPECT_EQ(rests[0].key, 7u);
+    EXPECT_EQ(rests[0].remaining, make_settings().ambiguous_settle_time);
+    Rig after;
+    after.list(0, 1);
+    after.sender.observe(rests[0], after.now);
+    after.arrive(2, 1, kSequential, 7);
+    EXPECT_TRUE(after.pass(rests[0].remaining - ms(10)).empty());
+    EXPECT_FALSE(after.pass(ms(100)).empty());
+}
+
+// A rest of all keys holds for those that have had no message yet, and not for messages without a key.
+TEST(Successor, KeepsAllKeysResting) {
+    Rig rig;
+    rig.list(0, 1);
+    rig.sender.observe(KeyRestEvent{std::nullopt, ms(500)}, rig.now);
+    rig.arrive(1, 1, kSequential, 7);
+    rig.arrive(2, 1);
+    const auto sent = rig.pass(ms(450));
+    ASSERT_EQ(sent.size(), 1u);
+    EXPECT_EQ(sent[0].second.message, 2u);
+    EXPECT_FALSE(rig.pass(ms(200)).empty());
+}
+
 // ---- changes of the settings ----
 
 TEST(NewSettings, ApplyToNewMessagesAndAllOrNothing) {
