Keep bytes beyond a response away from the next request on its connection

New term: some good answers bring more than belongs to them. Surplus in the same read or on an idle connection closed it already. Found by tests: a call that reused the connection at once took surplus that came a moment later as its own response, and a second copy of discovery's answer confirmed the next notice. Cause: nothing looked at the socket between the response and the next write. Fix: a call waits until 2 ms after the response, and uses the connection only if it is quiet; discovery's requests look as well. Counter stale_connections_total.

--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -7,7 +7,7 @@
     "accept_retries_total", "read_retries_total", "write_retries_total", "connect_retries_total",
     "agent_retries_total", "notice_failures_total", "journal_write_failures_total",
     "journal_ends_delayed_total", "late_deliveries_total", "messages_recovered_total", "clock_steps_total",
-    "log_lines_dropped_total"};
+    "stale_connections_total", "log_lines_dropped_total"};
 
 }  // namespace
 
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -20,7 +20,8 @@
     LateDeliveries,        ///< deliveries so close to the deadline that the platform gets a notice as well
     MessagesRecovered,     ///< unfinished messages of an earlier process
     ClockSteps,            ///< steps of the wall clock by a second or more
-    LogLinesDropped,       ///< lines above the log's rate, or not taken by its reader
+    StaleConnections,  ///< kept connections that were closed, or carried more than a response, before reuse
+    LogLinesDropped,   ///< lines above the log's rate, or not taken by its reader
     Count
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -128,9 +128,14 @@
 
 private:
     void begin() {
-        stream_->expires_at(deadline_);
         response_started_ = false;
+        // What came beyond the last response must not be read as the next one.
+        if (stream_->socket().is_open() && !is_quiet(stream_->socket())) {
+            counters().add(Counter::StaleConnections);
+            reset_connection();
+        }
         reused_connection_ = stream_->socket().is_open();
+        stream_->expires_at(deadline_);
         if (reused_connection_) return write();
         stream_->async_connect(address_, if_current([](DiscoveryConnection& self) { self.write(); }));
     }
--- a/src/net/endpoint_caller.cpp
+++ b/src/net/endpoint_caller.cpp
@@ -1,7 +1,5 @@
 #include "endpoint_caller.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
@@ -44,6 +42,9 @@
 constexpr int kIdleReuseDivisor = 4;
 /// The limit doubles after each such period without a reset.
 constexpr auto kIdleReuseDoublingTime = 10s;
+/// Some endpoints send more than the response, straight after it. A connection must have been quiet for this
+/// long before it carries another call, or the surplus would be read as the response to that call.
+constexpr auto kQuietTimeAfterResponse = 2ms;
 /// Set by the protocol.
 constexpr std::size_t kMaxBatchBodyBytes = 64 * 1024;
 
@@ -107,13 +108,9 @@
         early_outcomes_.assign(attempts_.size(), std::nullopt);
         response_ = ResponseReader(is_batch());
         retry_after_end_.reset();
-        if (socket_.is_open()) {
-            socket_.cancel();  // the wait for a close by the endpoint while the connection was idle
-            return write_request();
-        }
-        set_timer(std::min(start_deadline(),
-            started_at_ + std::min<Clock::duration>(longest_timeout(), caller_.config_.connect_timeout)));
-        connect();
+        if (!socket_.is_open()) return connect_for_call();
+        socket_.cancel();  // the wait for a close by the endpoint while the connection was idle
+        write_request_when_quiet();
     }
 
     /// The call goes on while another of its messages is awaited: a retry of the cancelled message before the
@@ -136,15 +133,7 @@
             Tcp::socket::wait_read, guarded([this](auto) { caller_.close_connection(shared_from_this()); }));
     }
     Clock::duration idle_time() const { return Clock::now() - idle_since_; }
-    /// Detects a close that has arrived but that the event loop has not reported yet; the next call on the
-    /// connection would end with a reset.
-    bool still_open() {
-        char byte;
-        ssize_t count = -1;
-        do count = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        while (count < 0 && errno == EINTR);
-        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    }
+    bool quiet() { return is_quiet(socket_); }
     void close() {
         ++generation_;
         boost::system::error_code ignored;
@@ -153,6 +142,27 @@
     }
 
 private:
+    void connect_for_call() {
+        set_timer(std::min(start_deadline(),
+            started_at_ + std::min<Clock::duration>(longest_timeout(), caller_.config_.connect_timeout)));
+        connect();
+    }
+
+    /// A connection on which more than the response has arrived is replaced before anything is written to it.
+    void write_request_when_quiet() {
+        const auto quiet_at = idle_since_ + kQuietTimeAfterResponse;
+        if (Clock::now() >= quiet_at) return write_request();
+        timer_.expires_at(quiet_at);
+        timer_.async_wait(guarded([this](auto cancelled) {
+            if (cancelled) return;
+            if (quiet()) return write_request();
+            counters().add(Counter::StaleConnections);
+            boost::system::error_code ignored;
+            socket_.close(ignored);
+            idle_before_call_.reset();
+            connect_for_call();
+        }));
+    }
     void connect() {
         local_shortage_ = false;
         socket_.async_connect(address_, guarded([this](auto error) {
@@ -520,8 +530,8 @@
         if (found == idle_.rend()) return nullptr;
         const Connection connection = *found;
         idle_.erase(std::next(found).base());
-        if (connection->idle_time() <= idle_reuse_limit(endpoint) && connection->still_open())
-            return connection;
+        if (connection->idle_time() <= idle_reuse_limit(endpoint) && connection->quiet()) return connection;
+        counters().add(Counter::StaleConnections);
         connection->close();
     }
 }
--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -1,7 +1,10 @@
 #include "socket_io.hpp"
 
+#include <sys/socket.h>
+
 #include <boost/asio/error.hpp>
 #include <boost/system/error_code.hpp>
+#include <cerrno>
 
 #include "counters.hpp"
 #include "system_errors.hpp"
@@ -58,4 +61,12 @@
     return {SocketResult::NotReady, 0};  // the socket is still readable, so the next wait ends at once
 }
 
+bool is_quiet(boost::asio::ip::tcp::socket& socket) {
+    char byte;
+    ssize_t count = -1;
+    do count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    while (count < 0 && errno == EINTR);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 }  // namespace lockgw
--- a/src/net/socket_io.hpp
+++ b/src/net/socket_io.hpp
@@ -43,6 +43,10 @@
 /// reads confirm it: the system reports the end of a connection again, whereas a transient error is gone.
 ReadResult read_available(boost::asio::ip::tcp::socket& socket, boost::asio::mutable_buffer buffer);
 
+/// Whether the connection is open and nothing unread has arrived on it: only then may it carry another
+/// request. Detects what the event loop has not reported yet.
+bool is_quiet(boost::asio::ip::tcp::socket& socket);
+
 /// For acceptors that use async_accept. Without this option Asio ignores a connection that was aborted in the
 /// queue and waits for a new one to arrive, although others are waiting in the queue.
 inline const boost::asio::socket_base::enable_connection_aborted kReportAborted{true};
--- a/tests/endpoint_caller_test.cpp
+++ b/tests/endpoint_caller_test.cpp
@@ -479,6 +479,50 @@
     EXPECT_EQ(endpoint_stub.connections(), 2);
 }
 
+/// Runs the loop until the stub has received a request.
+Exchange next_exchange(asio::io_context& io, HttpStub& endpoint_stub) {
+    while (endpoint_stub.none_within(0ms)) io.run_one_for(10ms);
+    return endpoint_stub.next();
+}
+
+// Failure: what an endpoint sent beyond a good response was read as the response to the next call on the
+// connection, which had started before the surplus arrived.
+class SurplusAfterAResponse : public ::testing::TestWithParam<const char*> {};
+TEST_P(SurplusAfterAResponse, ReachesNoOtherCall) {
+    HttpStub endpoint_stub;
+    const Config config = read_config(make_config("127.0.0.1:1", "127.0.0.1:1"));
+    asio::io_context io;
+    std::optional<Exchange> first;
+    std::vector<MessageId> delivered;
+    std::function<void()> on_first_outcome;
+    EndpointCaller caller(
+        io, config, 8, [](auto...) { return true; }, [](auto) {},
+        [&](const cometspoke::OutcomeEvent& event) {
+            EXPECT_EQ(event.outcome, cometspoke::Outcome::Delivered);
+            delivered.push_back(event.message);
+            if (event.message == 1) on_first_outcome();
+        });
+    caller.set_address(1, tcp_endpoint(endpoint_stub.address(), "target"), 0);
+    const auto attempt = [](MessageId id) { return OutgoingAttempt{id, 1, 0, "", "B", 20s, std::nullopt}; };
+    on_first_outcome = [&] {
+        caller.start({attempt(2)});
+        first->write(GetParam());
+        endpoint_stub.settle();
+    };
+    caller.start({attempt(1)});
+    first = next_exchange(io, endpoint_stub);
+    first->respond(200);
+    const Exchange second = next_exchange(io, endpoint_stub);
+    EXPECT_EQ(second.header("X-Call-Id"), "0000000000000002");
+    EXPECT_EQ(delivered, std::vector<MessageId>{1});
+    EXPECT_EQ(endpoint_stub.connections(), 2);
+    second.respond(200);
+    while (delivered.size() < 2) ASSERT_GT(io.run_one_for(kDeadline), 0u);
+    EXPECT_EQ(delivered, (std::vector<MessageId>{1, 2}));
+}
+INSTANTIATE_TEST_SUITE_P(EndpointCaller, SurplusAfterAResponse,
+    ::testing::Values("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "noise", "HTTP/1.1 20"));
+
 // Only those messages are removed from a batch call that may not start any more.
 TEST(EndpointCaller, WritesOnlyAttemptsThatMayStart) {
     HttpStub endpoint_stub;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -500,6 +500,25 @@
     EXPECT_TRUE(endpoint_stub.none_within(200ms));
 }
 
+// Failure: a second copy of the agent's answer, which came while nothing was awaited, confirmed the next
+// notice.
+TEST_F(NodeTest, ASurplusAnswerOfTheAgentConfirmsNoNotice) {
+    const std::string second = "00000000000000a2";
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "safe", 300, "B", 99), "+OK");  // no endpoint is in service there
+    const Exchange report = next_discovery_request("/reports");
+    report.respond(204);
+    ASSERT_TRUE(node.logs("message=" + id + " step=told"));
+    report.respond(204);
+    discovery_stub.settle();
+    ASSERT_EQ(enqueue(client, second, "safe", 300, "B", 99), "+OK");
+    const Exchange unanswered = next_discovery_request("/reports");
+    EXPECT_EQ(notices(unanswered)[0]["ref"], second);
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(node.log().find("message=" + second + " step=told"), std::string::npos);
+}
+
 // An entry that is malformed or of an unknown kind still means that its endpoint must not be used any more:
 // its revision counts as received, and the entry is never sent again.
 class UnusableListEntry : public NodeTest, public ::testing::WithParamInterface<const char*> {};
