--- a/review/common-2/world.hpp
+++ b/review/common-2/world.hpp
@@ -372,8 +372,6 @@
         for (const pid_t pid : {pid_, former_pid_})
             if (pid > 0) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
         if (listener_ >= 0) ::close(listener_);
-        if (std::getenv("KEEP_LOG") != nullptr)
-            std::filesystem::copy_file(folder_ / "log", "node.log", std::filesystem::copy_options::overwrite_existing);
         std::error_code ignored;
         std::filesystem::remove_all(folder_, ignored);
     }
