--- a/review/common-2/world.hpp
+++ b/review/common-2/world.hpp
@@ -33,6 +33,7 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -132,17 +133,35 @@
     using Handle = std::function<bool(const Request&, int fd)>;
 
     explicit HttpServer(Handle handle) : handle_(std::move(handle)) { open(); }
+    HttpServer(const HttpServer&) = delete;
+    /// Ends all connections and waits for the threads.
+    ~HttpServer() {
+        die();
+        for (const double until = now_ms() + 5000; threads_ > 0 && now_ms() < until;) sleep_ms(1);
+        if (threads_ > 0) ::_exit(2);  // a handler that does not return still uses this object
+    }
     int port() const { return port_; }
     std::string address() const { return address_of(port_); }
+    /// New connections are refused; the open ones go on.
+    void refuse() {
+        const std::lock_guard lock(mutex_);
+        if (const int listener = std::exchange(listener_, -1); listener >= 0) ::shutdown(listener, SHUT_RDWR);
+    }
+    /// The open connections are closed.
+    void close_open() {
+        const std::lock_guard lock(mutex_);
+        for (const int fd : connections_) ::shutdown(fd, SHUT_RDWR);
+    }
     /// New connections are refused and the open ones are reset, as when a process dies.
     void die() {
-        ::shutdown(listener_, SHUT_RDWR);
+        refuse();
         const std::lock_guard lock(mutex_);
         for (const int fd : connections_) reset(fd), ::shutdown(fd, SHUT_RDWR);
     }
     /// Listens again at the same port.
     void open() {
         listener_ = listen_on_free_port(port_);
+        ++threads_;
         std::thread([this, listener = listener_] {
             while (true) {
                 const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
@@ -153,9 +172,14 @@
                     const std::lock_guard lock(mutex_);
                     connections_.push_back(fd);
                 }
-                std::thread([this, fd] { serve(fd); }).detach();
+                ++threads_;
+                std::thread([this, fd] {
+                    serve(fd);
+                    --threads_;
+                }).detach();
             }
             ::close(listener);
+            --threads_;
         }).detach();
     }
 
@@ -204,6 +228,7 @@
 
     Handle handle_;
     int port_ = 0, listener_ = -1;
+    std::atomic<int> threads_ = 0;
     std::mutex mutex_;
     std::vector<int> connections_;
 };
@@ -234,6 +259,10 @@
         const std::lock_guard lock(mutex_);
         return whole();
     }
+    /// Discovery has moved away (TERMS, "Reconfiguration"): no new connections, and later no open ones.
+    void refuse() { server_.refuse(); }
+    void close_open() { server_.close_open(); }
+    int requests() const { return requests_; }
     /// While silent, the list is not served: discovery is down. Notices are taken all the same.
     void set_silent(bool silent) {
         const std::lock_guard lock(mutex_);
@@ -256,6 +285,7 @@
         return {{"revision", revision_}, {"complete", true}, {"members", members}};
     }
     bool handle(const Request& request, int fd) {
+        ++requests_;
         if (request.method == "POST" && request.target == "/reports") {
             std::istringstream lines(request.body);
             for (std::string line; std::getline(lines, line);) {
@@ -297,6 +327,7 @@
     bool silent_ = false;
     std::map<std::string, std::pair<long, Json>> members_;
     std::map<std::string, Notice> notices_;
+    std::atomic<int> requests_ = 0;
     HttpServer server_;
 };
 
@@ -394,13 +425,12 @@
         pid_ = spawn();
         wait_ready();
     }
-    /// Starts `run` a second time beside the running process. Returns once the new one says yes.
-    void replace() {
+    /// Starts `run` a second time beside the running process.
+    void begin_replacement() {
         former_pid_ = pid_;
         management_port_ = free_port();
         note("run is started a second time");
         pid_ = spawn();
-        wait_ready();
     }
     void signal(int number) {
         note("%s to the forwarder", number == SIGKILL ? "SIGKILL" : number == SIGTERM ? "SIGTERM" : "a signal");
