--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,9 +5,9 @@
 out=$root/build/review-2
 mkdir -p "$out"
 for number in 6 7 8 9 10; do
-    [ -f "$root/review/$number/case.cpp" ] || continue
+    [ -f "$root/review/$number/stand_in.cpp" ] || continue
     ${CXX:-g++} -std=c++20 -O1 -pthread -DREVIEW_ROOT="\"$root\"" -o "$out/case-$number" \
-        "$root/review/$number/case.cpp" &
+        "$root/review/$number/stand_in.cpp" &
     pids="$pids $!"
 done
 for pid in $pids; do wait "$pid"; done
