--- a/review/6/stand_in.cpp
+++ b/review/6/stand_in.cpp
@@ -1,89 +1,96 @@
-/// The process is replaced, and the configuration moves discovery just after the second process has started: the
-/// process that is ready gets the SIGHUP. The messages of the new process have to end like any others, and
-/// their notices go to the new address.
-#include "../common-2/world.hpp"
+/// A kill and, 4 s later, a replacement of the process, while operators have an endpoint out.
+///
+/// One item-grant is called at that endpoint before the kill, and may have run there. Its repeats are dropped
+/// for 15 s, so the forwarder must not send it again after that. Another destination is served all the time.
+#include "../common-2/forwarder_world.hpp"
 
-using namespace review;
+using namespace world;
 
 namespace {
 
-constexpr int kDestination = 3;
-constexpr int kEndpoints = 3200;           // "3,200 at most" (STANDING)
-constexpr double kOffsets_ms[] = {4, 7, 10, 13};  // from the second start to the SIGHUP
-constexpr double kLeft_ms = 1500.0;        // d of each message
-constexpr double kNoticeLimit_ms = 350;    // 300 ms, and "each time limit is 50 ms longer"
+constexpr long kWindow = 15'000;        // window_ms of item-grant
+constexpr long kSlack = 50;             // each time limit is 50 ms longer on sockets
+constexpr long kCallTime = 200;         // of each endpoint (BRIEF: 130 to 230 ms)
+constexpr long kRestartPause = 600;     // from SIGKILL to the next start
+constexpr long kKillAfterTerm = 3'700;  // from SIGTERM to SIGKILL
+constexpr long kOtherPause = 300;       // between two messages for the other destination
+constexpr int kCell = 7, kOtherCell = 8;
+// after the first call
+constexpr long kReplacedAt = 5'000, kBackAt = 16'000, kWatchedUntil = 24'000;
 
-bool holds() {
-    HttpServer endpoint([](const Request&, int fd) { return send_all(fd, response(503)); });
-    const auto new_agent = [&] {
-        auto agent = std::make_unique<Agent>();
-        for (int i = 0; i < kEndpoints; ++i)
-            agent->set(i == 0 ? Agent::member("s-0", endpoint.address(), kDestination, 10.0)
-                              : Agent::member("s-" + std::to_string(i), "127.0.0.1:9", 100 + i, 10.0));
-        return agent;
+bool play(const string& root) {
+    Agent agent;
+    const auto serve = [](const Call&) {
+        sleep_ms(kCallTime);
+        return http_answer("200 OK");
     };
-    bool held = true;
-    std::uint64_t number = 0;
-    for (const double offset : kOffsets_ms) {
-        const auto before = new_agent(), after = new_agent();
-        Json config = small_config(before->address());
-        config["known"] = before->whole_list();
-        Node node(REVIEW_ROOT, config);
-        node.hold_listener();
-        node.start();
-        sleep_ms(1500);  // no SIGHUP comes in the first second
+    Endpoint endpoint("s-1", serve), other("s-2", serve);
+    other.quiet = true;
+    agent.publish({endpoint.member(kCell), other.member(kOtherCell)});
+    Forwarder forwarder(root, agent);
+    forwarder.hold_listener();
+    forwarder.write_config(SettingsText().text(), agent.list(), "8c1f30d27a5be964");
+    pid_t pid = forwarder.start();
+    if (!forwarder.ready(pid)) throw CannotRun("not ready: " + forwarder.log());
+    note("the forwarder is ready");
+    sleep_ms(1000);
 
-        const auto move_discovery = [&](pid_t pid) {
-            node.config()["discovery"] = after->address();
-            node.write_config();
-            note("the file moves discovery to %s, SIGHUP to the process that is ready", after->address().c_str());
-            before->refuse();
-            ::kill(pid, SIGHUP);
-            return now_ms();
-        };
-        const pid_t ready_pid = node.pid();
-        double moved_at = 0;
-        if (trouble()) {
-            node.begin_replacement();
-            sleep_ms(offset);
-            moved_at = move_discovery(ready_pid);
-        } else {
-            moved_at = move_discovery(ready_pid);
-            sleep_ms(500 + offset);
-            node.begin_replacement();
-        }
-        node.wait_ready();
-        node.signal_former(SIGTERM);
-        const double ready_at = now_ms();
-        sleep_until_ms(moved_at + 1500);
-        before->close_open();
-        node.reap_former();
-        sleep_until_ms(std::max(moved_at + 4000, ready_at + 1500));  // by now all of it counts as told
+    std::atomic<bool> stopping{false};
+    std::atomic<int> others_taken_on{0};
+    std::thread client([&] {
+        for (std::uint64_t number = 1000; !stopping; ++number, sleep_ms(kOtherPause))
+            if (ask_once(forwarder.port, enqueue(message_id(number), "save-sync", 16'000, kOtherCell)) ==
+                "+OK")
+                ++others_taken_on;
+    });
 
-        Client client(node.port());
-        const std::string id = message_id(++number);
-        const double sent_at = now_ms();
-        const std::string answer = client.ask({"ENQUEUE", "0000000000000000", id,
-            "c=save-sync,t=acme,d=" + std::to_string(static_cast<int>(kLeft_ms)) +
-                ",dest=" + std::to_string(kDestination),
-            "BODY"});
-        note("handed in %s: %s", id.c_str(), answer.c_str());
-        if (answer != "+OK") throw CannotRun("the message is not taken on");
-        Notice notice;
-        while (now_ms() < sent_at + kLeft_ms + 3000 && !before->notice_of(id, notice) &&
-               !after->notice_of(id, notice))
-            sleep_ms(5);
-        const bool in_time = notice.at > 0 && notice.at <= sent_at + kLeft_ms + kNoticeLimit_ms;
-        note("SIGHUP %.0f ms %s the second start: %d requests at the new address; the message %s", offset,
-            trouble() ? "after" : "(and 500) before", after->requests(),
-            in_time            ? "ended in time"
-            : notice.at > 0 ? "ended late: BROKEN"
-                               : "has no end 3 s after its time, and is lost: BROKEN");
-        held = held && in_time;
+    const string id = message_id(1);
+    const string answer =
+        ask_once(forwarder.port, enqueue(id, "item-grant", 28'000, kCell, "5c0f6e1a2b3d4c59"));
+    note("handed in " + id + " (item-grant, 28 s): " + answer);
+    if (answer != "+OK") throw CannotRun("not taken on");
+    if (!wait_for([&] { return endpoint.calls_of(id) == 1; }, 3000)) throw CannotRun("no call");
+    const long first = endpoint.calls().front().at;
+    const int out = forwarder.operate(pid, "POST /endpoints/disable?who=s-1");
+    note("operators take s-1 out: " + std::to_string(out));
+    if (out != 200) throw CannotRun("the endpoint is not out");
+
+    if (trouble()) {
+        if (now_ms() >= first + kCallTime) throw CannotRun("the call is over before the kill");
+        forwarder.kill(pid);
+        note("SIGKILL, 0.6 s before the next start");
+        sleep_ms(kRestartPause);
+        pid = forwarder.start();
+        if (!forwarder.ready(pid)) throw CannotRun("not ready again: " + forwarder.log());
+        note("the forwarder is ready again");
+        sleep_until_ms(first + kReplacedAt);
+        const pid_t next = forwarder.start();
+        if (!forwarder.ready(next)) throw CannotRun("not replaced: " + forwarder.log());
+        note("the new process says yes; SIGTERM to the old one");
+        forwarder.signal(pid, SIGTERM);
+        const bool ended = forwarder.ended(pid, kKillAfterTerm);
+        if (!ended) forwarder.kill(pid);
+        note(ended ? "the old process has ended" : "the old process got SIGKILL");
+        pid = next;
+    }
+    sleep_until_ms(first + kBackAt);
+    const int back = forwarder.operate(pid, "POST /endpoints/enable?who=s-1");
+    note("operators use s-1 again: " + std::to_string(back));
+    if (back != 200) throw CannotRun("the endpoint is not used again");
+    sleep_until_ms(first + kWatchedUntil);
+    stopping = true;
+    client.join();
+
+    note("at s-2: " + std::to_string(others_taken_on) + " taken on, " + std::to_string(other.calls().size()) +
+         " calls");
+    bool broken = false;
+    for (const Call& call : endpoint.calls()) {
+        note("call of " + call.id + " " + std::to_string(call.at - first) + " ms after the first one");
+        broken = broken || call.at > first + kWindow + kSlack;
     }
-    return held;
+    return broken;
 }
 
 }  // namespace
 
-int main() { return play(holds); }
+int main(int argc, char** argv) { return run_case(argc, argv, play); }
