--- a/src/net/event_log.cpp
+++ b/src/net/event_log.cpp
@@ -31,7 +31,8 @@
     void flush_() override {}
 };
 
-constexpr std::array kStepNames{"taken_on", "refused", "begun", "outcome", "ended", "told", "recovered"};
+constexpr std::array kStepNames{
+    "taken_on", "refused", "begun", "outcome", "ended", "told", "recovered", "inherited"};
 
 }  // namespace
 
--- a/src/net/event_log.hpp
+++ b/src/net/event_log.hpp
@@ -16,7 +16,16 @@
 
 namespace lockgw {
 
-enum class MessageStep { Accepted, Refused, AttemptStarted, AttemptEnded, Ended, NoticeConfirmed, Recovered };
+enum class MessageStep {
+    Accepted,
+    Refused,
+    AttemptStarted,
+    AttemptEnded,
+    Ended,
+    NoticeConfirmed,
+    Recovered,
+    AttemptInherited  ///< the attempt is in flight on a connection of the previous process
+};
 
 class EventLog {
 public:
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -77,6 +77,11 @@
     return text;
 }
 
+/// For the log, such as "250ms_ago".
+std::string age_text(std::chrono::steady_clock::duration age) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(age).count()) + "ms_ago";
+}
+
 // The handover messages between two processes.
 
 Json endpoint_to_json(const EndpointRecord& record) {
@@ -335,6 +340,9 @@
             inherited_call.attempts.push_back(attempt);
             inherited_attempts_.emplace(AttemptId(attempt.message, attempt.attempt),
                 InheritedAttempt{inherited_call.endpoint, inherited_call.started_at});
+            log_.message(MessageStep::AttemptInherited, attempt.message,
+                "begun_" + age_text(time - inherited_call.started_at),
+                printable(call.at("target").get<std::string>()), attempt.attempt);
         }
         inherited.push_back(std::move(inherited_call));
     }
@@ -632,7 +640,10 @@
     for (const JournalEntry* entry : journal_->entries_by_arrival()) {
         const Message& message = entry->message;
         const auto possible_run = entry->first_possible_run();
-        log_.message(MessageStep::Recovered, message.id, entry->notice ? "ended" : "held",
+        log_.message(MessageStep::Recovered, message.id,
+            entry->notice  ? "ended"
+            : possible_run ? "may_have_run_" + age_text(wall - possible_run->since)
+                           : "held",
             possible_run ? printable(possible_run->endpoint) : "", entry->attempts);
         counters().add(Counter::MessagesRecovered);
         if (entry->notice) {
