--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -384,7 +384,8 @@
         if (!entry.open_attempt || entry.attempts == 0 || entry.notice) continue;
         const std::uint32_t attempt = entry.attempts - 1;
         if (!listed.contains({id, attempt}))
-            add(entry.open_attempt->endpoint, Time(0), {{id, attempt, sender_.key_of_attempt(id, attempt)}});
+            add(entry.open_attempt->endpoint, clock_.now() - entry.open_attempt->since,
+                {{id, attempt, sender_.key_of_attempt(id, attempt)}});
     }
     return calls;
 }
@@ -632,8 +633,21 @@
     return message_class != config_.names.classes.end() || event.class_settings;
 }
 
+/// Ends the attempts of a process that has ended, as far as the journal holds them open. Otherwise a later
+/// handover would offer them as calls in flight, and the process that takes over would count their beginning
+/// from the end of this one.
+void Forwarder::end_attempts_of_ended_process(const std::set<AttemptId>& active_attempts) {
+    for (const auto& [id, entry] : journal_->entries()) {
+        if (!entry.open_attempt || entry.attempts == 0 || entry.notice) continue;
+        if (active_attempts.contains({id, entry.attempts - 1})) continue;
+        const bool never_ran = !entry.open_attempt->written;
+        retry_unless_recorded(journal_->end_attempt(id, never_ran));
+    }
+}
+
 /// Recovers the messages of an earlier process from the journal, with what is recorded of their attempts.
 void Forwarder::recover_messages(const std::set<AttemptId>& active_attempts) {
+    end_attempts_of_ended_process(active_attempts);
     const PersistentTime wall = clock_.now();
     const auto ended_ids = journal_->ended_ids();
     for (const auto& [until, id] : ended_ids) remember_ended(id, until);
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -83,6 +83,7 @@
     void enqueue_pending_again();
     std::vector<PendingEnqueue*> pending_enqueues_by_arrival();
     bool resolve_class(const Message& message, cometspoke::MessageEvent& event) const;
+    void end_attempts_of_ended_process(const std::set<AttemptId>& active_attempts);
     void recover_messages(const std::set<AttemptId>& active_attempts);
     void handle_operator_call(const OperatorCall& call, const Management::Reply& reply);
     OperatorReply execute_operator_call(const OperatorCall& call);
--- /dev/null
+++ b/tests/attempt_record_test.cpp
@@ -0,0 +1,78 @@
+// What is known of an attempt after its process was killed, replaced, or has taken the folder back: when it
+// began, whether its call was written, and the retry-after of its response.
+#include "handover_fixture.hpp"
+
+namespace lockgw {
+namespace {
+
+class AttemptRecordTest : public HandoverTest {
+protected:
+    AttemptRecordTest() { node.config()["settings"]["family_info"]["slots"] = 4; }
+
+    void restart() {
+        node.kill();
+        node.wait();
+        node.start_ready();
+    }
+    /// Confirms notices until the one for `message` arrives.
+    void await_notice(const std::string& message) {
+        const auto give_up_at = Clock::now() + kDeadline;
+        while (Clock::now() < give_up_at) {
+            const Exchange report = next_discovery_request("/reports");
+            report.respond(204);
+            for (const Json& notice : notices(report))
+                if (notice["ref"] == message) return;
+        }
+        FAIL() << "no notice for " << message;
+    }
+    /// Lets this time pass in the forwarder: a message that cannot be sent ends after it.
+    void let_time_pass(std::chrono::milliseconds duration) {
+        Client client = node.client();
+        const int time_left = static_cast<int>(duration.count());
+        ASSERT_EQ(enqueue(client, "00000000000000f0", "safe", time_left, "B", 99), "+OK");
+        await_notice("00000000000000f0");
+    }
+};
+
+// Failure: a keyed message that was in flight at a kill was sent again after its deduplication window, once
+// the process had been replaced: the new process counted the window from the replacement.
+TEST_F(AttemptRecordTest, CountsTheWindowFromTheFirstCallAcrossAKillAndAReplacement) {
+    constexpr auto kWindow = 2500ms, kMaxLateness = 50ms;
+    node.config()["settings"]["classes"][1]["window_ms"] = kWindow.count();
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "keyed"), "+OK");
+    const Exchange unanswered = endpoint_stub.next();
+    const auto called_at = Clock::now();
+    ASSERT_EQ(operate(old_management, "POST", "/endpoints/disable?who=s-1"), 200);
+    restart();
+    let_time_pass(800ms);
+    start_replacement();
+    stop_predecessor();
+    await_notice(id);
+    EXPECT_LE(Clock::now() - called_at, kWindow + kMaxLateness) << node.log();
+    ASSERT_EQ(operate(new_management, "POST", "/endpoints/enable?who=s-1"), 200);
+    EXPECT_TRUE(endpoint_stub.none_within(300ms));
+}
+
+// Failure: a message that must not be repeated was never sent after a kill and a replacement, although the
+// killed process had still been connecting for it.
+TEST_F(AttemptRecordTest, SendsAMessageWhoseProcessWasKilledWhileConnecting) {
+    const FullListener unreachable;
+    node.config()["known"] = list(1, true, {member("s-1", text_of(unreachable.address()), 7)});
+    node.config()["settings"]["limits"]["connect_timeout_ms"] = 30000;
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "unsafe"), "+OK");
+    ASSERT_TRUE(node.logs("message=" + id + " step=begun"));
+    node.config()["known"] = list(1, true, {member("s-2", endpoint_stub.address(), 99)});
+    restart();
+    start_replacement();
+    stop_predecessor();
+    send_endpoint_list(
+        next_discovery_request("/v1/servers"), list(2, true, {member("s-2", endpoint_stub.address(), 7)}));
+    EXPECT_EQ(message_id(endpoint_stub.next()), id);
+}
+
+}  // namespace
+}  // namespace lockgw
--- a/tests/endpoint_caller_test.cpp
+++ b/tests/endpoint_caller_test.cpp
@@ -231,29 +231,6 @@
 }
 INSTANTIATE_TEST_SUITE_P(EndpointCaller, RejectedNewConnection, ::testing::Bool());
 
-/// Accepts no connections: its queue is full, so that a connect stays pending.
-class FullListener {
-public:
-    FullListener() : acceptor_(io_) {
-        acceptor_.open(Tcp::v4());
-        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
-        acceptor_.listen(0);
-        for (auto& socket : waiting_) {
-            socket.open(Tcp::v4());
-            socket.native_non_blocking(true);  // asio's connect would block
-            const auto address = acceptor_.local_endpoint();
-            ::connect(socket.native_handle(), address.data(), static_cast<socklen_t>(address.size()));
-        }
-    }
-    Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
-
-private:
-    asio::io_context io_;
-    Tcp::acceptor acceptor_;
-    std::array<Tcp::socket, 4> waiting_{
-        Tcp::socket(io_), Tcp::socket(io_), Tcp::socket(io_), Tcp::socket(io_)};
-};
-
 // A connection was established a second late, after the start deadline of the message, and the call was
 // written nevertheless. An attempt that did not start in time has not run, and says nothing about the
 // endpoint.
--- a/tests/net_helpers.hpp
+++ b/tests/net_helpers.hpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -187,6 +188,29 @@
     std::thread thread_;
 };
 
+/// Accepts no connections: its queue is full, so that a connect stays pending.
+class FullListener {
+public:
+    FullListener() : acceptor_(io_) {
+        acceptor_.open(Tcp::v4());
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen(0);
+        for (auto& socket : waiting_) {
+            socket.open(Tcp::v4());
+            socket.native_non_blocking(true);  // asio's connect would block
+            const auto address = acceptor_.local_endpoint();
+            ::connect(socket.native_handle(), address.data(), static_cast<socklen_t>(address.size()));
+        }
+    }
+    Tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+private:
+    asio::io_context io_;
+    Tcp::acceptor acceptor_;
+    std::array<Tcp::socket, 4> waiting_{
+        Tcp::socket(io_), Tcp::socket(io_), Tcp::socket(io_), Tcp::socket(io_)};
+};
+
 /// A client connection that speaks RESP2.
 class Client {
 public:
