Count an inherited attempt that was only connecting as one that never ran

Callers saw a message that must not be repeated given up with no call: the old process was connecting for it at a replacement and was then killed. predecessor_ended() reported each inherited attempt as called off, which may have run. The new test failed before (no call within 20 s).

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -603,7 +603,15 @@
     }
 }
 
-/// The connections of the previous process have ended with it; an inherited call may have run.
+/// The connections of the previous process have ended with it. A call of which nothing was written at the
+/// handover has not run, since a replaced process writes no further calls; any other one may have run.
+Outcome Forwarder::outcome_of_ended_predecessor(const AttemptId& attempt) const {
+    const JournalEntry* entry = journal_->find(attempt.first);
+    const bool connecting =
+        entry != nullptr && entry->open_attempt && !entry->open_attempt->written && !entry->notice;
+    return connecting ? Outcome::Withheld : Outcome::Cancelled;  // Neither says anything of the endpoint.
+}
+
 void Forwarder::predecessor_ended() {
     std::cerr << "handover: the process before has ended\n";
     clients_.set_reserved_connections(0);
@@ -613,7 +621,7 @@
         event.message = attempt.first;
         event.attempt = attempt.second;
         event.endpoint = call.endpoint;
-        event.outcome = Outcome::Cancelled;  // This tells nothing about the endpoint.
+        event.outcome = outcome_of_ended_predecessor(attempt);
         event.rtt = std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - call.started_at);
         on_outcome(event);
     }
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -63,6 +63,7 @@
     void take_back(bool offered);
     void receive(const Json& handover_message);
     void predecessor_ended();
+    cometspoke::Outcome outcome_of_ended_predecessor(const AttemptId& attempt) const;
     /// A call whose outcome is still to come while the process that decides changes.
     struct HandedOverCall {
         EndpointId endpoint = 0;
--- a/tests/attempt_record_test.cpp
+++ b/tests/attempt_record_test.cpp
@@ -74,5 +74,27 @@
     EXPECT_EQ(message_id(endpoint_stub.next()), id);
 }
 
+// Failure: the same where the old process is killed while it connects and another one takes over.
+TEST_F(AttemptRecordTest, SendsAMessageWhosePredecessorWasKilledWhileConnecting) {
+    const FullListener unreachable;
+    node.config()["known"] = list(1, true, {member("s-1", text_of(unreachable.address()), 7)});
+    node.config()["settings"]["limits"]["connect_timeout_ms"] = 30000;
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "unsafe"), "+OK");
+    ASSERT_TRUE(node.logs("message=" + id + " step=begun"));
+    start_replacement();
+    ::kill(node.previous_pid(), SIGKILL);
+    node.wait_for_previous();
+    ASSERT_TRUE(node.logs("the process before has ended"));
+    for (Exchange request = next_discovery_request("/v1/servers");;
+         request = next_discovery_request("/v1/servers"))
+        if (request.request.target() == "/v1/servers") {
+            send_endpoint_list(request, list(2, true, {member("s-2", endpoint_stub.address(), 7)}));
+            break;
+        }
+    EXPECT_EQ(message_id(endpoint_stub.next()), id);
+}
+
 }  // namespace
 }  // namespace lockgw
