Bind both processes of a replacement to every retry-after that either receives

Cause: observe() drops events while another process decides, and take_back() makes a new module from the older state of the offer. Each process now sends every retry-after to the other one; the one that does not decide keeps their ends until it takes back.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -122,6 +122,9 @@
         event.report = LoadReport{fields["report"].at(0).get<double>(), fields["report"].at(1).get<double>()};
     return event;
 }
+Json to_handover_message(const std::string& endpoint_name, Time retry_after) {
+    return {{"retry_after", {{"target", endpoint_name}, {"for_us", retry_after.count()}}}};
+}
 /// Uses the record format of the journal, because the texts of a message may hold any bytes and because the
 /// record includes the settings of its class.
 Json to_handover_message(const Message& message) {
@@ -188,7 +191,7 @@
               return role_ == Role::Owner && sender_.may_start(id, attempt, now()) &&
                      journal_->mark_attempt_written(id);
           },
-          [this](const RetryAfterEvent& event) { observe(event); },
+          [this](const RetryAfterEvent& event) { on_retry_after(event); },
           [this](const OutcomeEvent& event) { on_outcome(event); }),
       discovery_(
           io, config_, directory_,
@@ -479,6 +482,7 @@
 void Forwarder::released() {
     role_ = Role::Released;
     std::cerr << "handover: handed over\n";
+    for (const RetryAfterEvent& event : take_kept_retry_afters()) share_retry_after(event);
     for (const OutcomeEvent& event : std::exchange(unreported_outcomes_, {}))
         handover_.send(to_handover_message(event));
     for (const PendingEnqueue* pending : pending_enqueues_by_arrival())
@@ -516,6 +520,7 @@
     held_counts_timer_.cancel();
     if (offered) {
         role_ = Role::Owner;
+        observe_kept_retry_afters();
         for (const OutcomeEvent& event : std::exchange(unreported_outcomes_, {})) on_outcome(event);
         write_pending_records();
         observe(TimerFired{});
@@ -528,6 +533,7 @@
         // The other process may have had calls in flight with any key. They ended with it at the latest.
         observe(cometspoke::KeyRestEvent{std::nullopt, config_.settings.ambiguous_settle_time});
         take_over(last_offer_, calls);
+        observe_kept_retry_afters();
         run_guarded([this] { peer_channel_.start(); });
     }
     if (!drained_ && !finishing_) clients_.set_closing_between_requests(false);
@@ -566,6 +572,8 @@
         event.endpoint = found->second.endpoint;
         inherited_attempts_.erase(found);
         on_outcome(event);
+    } else if (handover_message.contains("retry_after")) {
+        receive_retry_after(handover_message["retry_after"]);
     } else if (handover_message.contains("enqueue")) {
         Message message = parse_message(handover_message["enqueue"]);
         const Time time_left = message.deadline - clock_.now();
@@ -776,7 +784,48 @@
     observe(event);
 }
 
+/// A retry-after whose call has no outcome yet, or had one before.
+void Forwarder::on_retry_after(const RetryAfterEvent& event) {
+    share_retry_after(event);
+    observe(event);
+}
+
+/// Binds both processes of a handover: the calls of either may bring a retry-after, and whichever process
+/// goes on alone must heed it.
+void Forwarder::share_retry_after(const RetryAfterEvent& event) {
+    if (event.retry_after <= Time(0)) return;
+    if (role_ != Role::Owner) keep_retry_after(event);
+    const std::string* endpoint_name = directory_.name_of(event.endpoint);
+    if (role_ != Role::Offered && endpoint_name != nullptr)
+        handover_.send(to_handover_message(*endpoint_name, event.retry_after));
+}
+
+void Forwarder::keep_retry_after(const RetryAfterEvent& event) {
+    auto& until = kept_retry_afters_[event.endpoint];
+    until = std::max(until, std::chrono::steady_clock::now() + event.retry_after);
+}
+
+void Forwarder::receive_retry_after(const Json& fields) {
+    const auto endpoint = directory_.find(fields.at("target").get<std::string>());
+    if (!endpoint) return;
+    const RetryAfterEvent event{*endpoint, Time(fields.at("for_us").get<std::int64_t>())};
+    role_ == Role::Owner ? observe(event) : keep_retry_after(event);
+}
+
+std::vector<RetryAfterEvent> Forwarder::take_kept_retry_afters() {
+    const auto time = std::chrono::steady_clock::now();
+    std::vector<RetryAfterEvent> events;
+    for (const auto& [endpoint, until] : std::exchange(kept_retry_afters_, {}))
+        if (until > time) events.push_back({endpoint, std::chrono::ceil<Time>(until - time)});
+    return events;
+}
+
+void Forwarder::observe_kept_retry_afters() {
+    for (const RetryAfterEvent& event : take_kept_retry_afters()) observe(event);
+}
+
 void Forwarder::on_outcome(const OutcomeEvent& event) {
+    share_retry_after({event.endpoint, event.retry_after});
     if (role_ == Role::Offered) return unreported_outcomes_.push_back(event);
     if (role_ == Role::Released) return handover_.send(to_handover_message(event)), stop_if_done();
     const JournalEntry* entry = journal_->find(event.message);
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -96,6 +96,12 @@
     void apply_list(EndpointList update, cometspoke::ListUpdateKind kind);
     void enqueue(Message message, cometspoke::Time time_left, ClientServer::Reply reply);
     void on_outcome(const cometspoke::OutcomeEvent& event);
+    void on_retry_after(const cometspoke::RetryAfterEvent& event);
+    void share_retry_after(const cometspoke::RetryAfterEvent& event);
+    void receive_retry_after(const Json& fields);
+    void keep_retry_after(const cometspoke::RetryAfterEvent& event);
+    std::vector<cometspoke::RetryAfterEvent> take_kept_retry_afters();
+    void observe_kept_retry_afters();
     void observe(const cometspoke::Event& event);
     void run_iteration();
     void reply_to_pending_enqueues(const std::vector<cometspoke::Action>& actions);
@@ -144,6 +150,8 @@
     bool failed_ = false, reload_pending_ = false, linger_expired_ = false;
     Json last_offer_;                                            // Is taken back if the other process ends.
     std::vector<cometspoke::OutcomeEvent> unreported_outcomes_;  // Since the offer; sent to the new owner.
+    /// The ends of the retry-afters that either process has received since the offer.
+    std::map<EndpointId, std::chrono::steady_clock::time_point> kept_retry_afters_;
     /// An attempt of an inherited call.
     struct InheritedAttempt {
         EndpointId endpoint = 0;
--- a/tests/attempt_record_test.cpp
+++ b/tests/attempt_record_test.cpp
@@ -96,5 +96,73 @@
     EXPECT_EQ(message_id(endpoint_stub.next()), id);
 }
 
+/// A call is in flight on a connection of the process that is replaced, and its endpoint tells it to wait.
+class RetryAfterHandoverTest : public AttemptRecordTest {
+protected:
+    RetryAfterHandoverTest() {
+        node.config()["settings"]["kinds"] = {"shop"};
+        node.config()["settings"]["family_info"]["routes_apart"] = {true};
+    }
+    Exchange replace_with_call_in_flight() {
+        node.start_ready();
+        Client client = node.client();
+        EXPECT_EQ(enqueue(client, id), "+OK");
+        Exchange in_flight = endpoint_stub.next();
+        start_replacement();
+        return in_flight;
+    }
+    /// Returns once both processes have handled what has reached the old one before: the old one relays the
+    /// call to the new one, behind everything else that it sends to it.
+    void let_processes_settle() { ASSERT_EQ(operate(old_management, "POST", "/undrain"), 200); }
+
+    static constexpr auto kRetryAfter = 3s;
+};
+
+// Failure: a retry-after that reached the old process before the end of its response was not known to the new
+// one, which sent another message to the endpoint.
+TEST_F(RetryAfterHandoverTest, BindsTheNewProcessBeforeTheResponseIsComplete) {
+    const Exchange in_flight = replace_with_call_in_flight();
+    const auto refused_at = Clock::now();
+    in_flight.write("HTTP/1.1 429 X\r\nContent-Length: 5\r\nRetry-After: 3\r\n\r\n");
+    endpoint_stub.settle();
+    let_processes_settle();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, second), "+OK");
+    endpoint_stub.next();
+    EXPECT_GE(Clock::now() - refused_at, kRetryAfter);
+}
+
+// Failure: the old process had read a retry-after on its own connection, took the folder back from a new one
+// that was killed, and sent within that time.
+TEST_F(RetryAfterHandoverTest, BindsTheOldProcessThatTakesBack) {
+    const Exchange in_flight = replace_with_call_in_flight();
+    const auto refused_at = Clock::now();
+    in_flight.respond(429, "Retry-After: 3\r\n");
+    endpoint_stub.settle();
+    let_processes_settle();
+    node.kill();
+    node.wait();
+    node.return_to_previous();
+    EXPECT_EQ(message_id(endpoint_stub.next()), id);
+    EXPECT_GE(Clock::now() - refused_at, kRetryAfter);
+}
+
+// Failure: the same with a retry-after that the new process had read.
+TEST_F(RetryAfterHandoverTest, OfTheNewProcessBindsTheOldOneThatTakesBack) {
+    const Exchange in_flight = replace_with_call_in_flight();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, second), "+OK");
+    const Exchange call = endpoint_stub.next();
+    EXPECT_EQ(message_id(call), second);
+    const auto refused_at = Clock::now();
+    call.respond(429, "Retry-After: 3\r\n");
+    ASSERT_TRUE(node.logs("message=" + second + " step=outcome"));
+    node.kill();
+    node.wait();
+    node.return_to_previous();
+    EXPECT_EQ(message_id(endpoint_stub.next()), second);
+    EXPECT_GE(Clock::now() - refused_at, kRetryAfter);
+}
+
 }  // namespace
 }  // namespace lockgw
