Count and free the memory that client connections hold, not the bytes they sent

Cause: rejecting a connection assigned an empty parser, and a string moved from an empty one keeps its memory; the bound of an eighth counted received bytes and not the room of the buffers; replies repeated up to 64 KB of the client's text. Fix: the parser frees its memory and counts what it holds, small connections are exempt, echoes and error texts are short.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -35,6 +35,13 @@
 constexpr auto kNewConnectionGrace = 100ms;
 // Incomplete commands may take 1/8 of the memory limit.
 constexpr std::size_t kPartialCommandMemoryDivisor = 8;
+// A session that holds no more than this is never rejected for the memory of all: the connections are few
+// enough.
+constexpr std::size_t kSmallSessionBytes = 4096;
+// A longer text of PING is not sent back, and error messages are cut: the reply of a client that does not
+// read it is held in memory.
+constexpr std::size_t kMaxPingBytes = 1024;
+constexpr std::size_t kMaxErrorBytes = 200;
 // The number of bytes that are read and discarded after the last reply.
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
 constexpr double kMaxDeadline_ms = 86.4e6;  // one day: no class holds a message for longer
@@ -135,6 +142,7 @@
     }
 
     Clock::time_point state_since() const { return state_since_; }
+    std::size_t held_bytes() const { return held_bytes_; }
     /// Whether the socket has data that was not read yet. Closing now would lose a request.
     bool has_unread_data() {
         boost::system::error_code failed;
@@ -149,7 +157,7 @@
         const auto self = shared_from_this();
         owner_.sessions_[state_].erase(position_);
         --owner_.connection_count_;
-        owner_.buffered_bytes_ -= std::exchange(buffered_bytes_, 0);
+        owner_.held_bytes_ -= std::exchange(held_bytes_, 0);
         owner_.accept();
         if (owner_.empty()) owner_.emptied_();
     }
@@ -163,8 +171,8 @@
     /// Writes an error as the last reply and closes the connection after it.
     void reject(const std::string& why) {
         closing_ = true;
-        parser_ = resp::Parser();
-        count_buffered();
+        parser_.clear();
+        count_held();
         write(resp::error("ERR " + why));
     }
 
@@ -200,7 +208,7 @@
 
     void process_next_command() try {
         const auto command = parser_.next();
-        count_buffered();
+        count_held();
         if (command) {
             set_state(State::AwaitingReply);
             return owner_.handle(*command,
@@ -208,7 +216,7 @@
         }
         if (parser_.has_partial_command()) {
             if (state_ != State::PartialCommand) set_state(State::PartialCommand);
-            owner_.limit_buffered_bytes();
+            owner_.limit_held_bytes();
             if (closing_) return;
         } else {
             if (owner_.closing_between_requests_ && state_ != State::NoCommandYet && !has_unread_data())
@@ -223,9 +231,9 @@
         reject(error.what());
     }
 
-    void count_buffered() {
-        owner_.buffered_bytes_ += parser_.pending_bytes() - buffered_bytes_;
-        buffered_bytes_ = parser_.pending_bytes();
+    void count_held() {
+        owner_.held_bytes_ += parser_.held_bytes() - held_bytes_;
+        held_bytes_ = parser_.held_bytes();
     }
 
     void send_reply(std::string text) {
@@ -261,7 +269,7 @@
     Clock::time_point state_since_ = Clock::now();
     resp::Parser parser_;
     std::string reply_;
-    std::size_t buffered_bytes_ = 0, discarded_bytes_ = 0;
+    std::size_t held_bytes_ = 0, discarded_bytes_ = 0;
     bool waiting_for_data_ = false, closing_ = false, closed_ = false;
 };
 
@@ -409,10 +417,21 @@
 }
 
 /// Many clients that each send half of a long command must not exhaust the memory.
-void ClientServer::limit_buffered_bytes() {
+void ClientServer::limit_held_bytes() {
     const std::size_t max_bytes = config_.memory_bytes / kPartialCommandMemoryDivisor;
-    while (buffered_bytes_ > max_bytes && !sessions_[PartialCommand].empty())
-        std::shared_ptr(sessions_[PartialCommand].front())->reject("too much at once");
+    while (held_bytes_ > max_bytes) {
+        const auto session = session_to_reject();
+        if (!session) return;
+        session->reject("too much at once");
+    }
+}
+
+/// The session with the oldest incomplete command of those that hold much.
+std::shared_ptr<ClientSession> ClientServer::session_to_reject() const {
+    const Sessions& partial = sessions_[PartialCommand];
+    const auto found = std::find_if(partial.begin(), partial.end(),
+        [](const auto& session) { return session->held_bytes() > kSmallSessionBytes; });
+    return found != partial.end() ? *found : nullptr;
 }
 
 /// Runs periodically and ends the sessions that have been in their state for too long.
@@ -484,6 +503,8 @@
 void ClientServer::handle(const resp::Command& command, const Reply& reply) {
     using boost::algorithm::iequals;
     if (iequals(command[0], "PING") && unready_) return reply(resp::error("BUSY draining"));
+    if (iequals(command[0], "PING") && command.size() == 2 && command[1].size() > kMaxPingBytes)
+        return reply(resp::error("ERR too long for PING"));
     if (iequals(command[0], "PING"))
         return reply(command.size() == 2 ? resp::bulk(command[1]) : resp::simple("PONG"));
     if (!iequals(command[0], "ENQUEUE")) return reply(resp::error("ERR unknown command"));
@@ -492,7 +513,7 @@
     try {
         message = message_of(command, config_, clock_.now(), left);
     } catch (const InvalidInput& error) {
-        std::string text = std::string("ERR ") + error.what();
+        std::string text = (std::string("ERR ") + error.what()).substr(0, kMaxErrorBytes);
         for (char& character : text)  // The text may contain bytes that the client sent.
             if (character < ' ' || character > '~') character = '?';
         return reply(resp::error(text));
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -85,7 +85,8 @@
     void close_inactive(State state);
     bool close_oldest(State state, Clock::duration min_age);
     void close_expired();
-    void limit_buffered_bytes();
+    void limit_held_bytes();
+    std::shared_ptr<ClientSession> session_to_reject() const;
     void handle(const resp::Command& command, const Reply& reply);
 
     asio::io_context& io_;
@@ -101,7 +102,7 @@
     bool unready_ = false, closing_between_requests_ = false;
     std::array<Sessions, StateCount> sessions_;
     std::size_t connection_count_ = 0;           // in all states
-    std::size_t buffered_bytes_ = 0;             // of incomplete commands, over all connections
+    std::size_t held_bytes_ = 0;                 // by the input and the replies of all connections
     std::array<char, 16 * 1024> read_buffer_{};  // shared by the reads of all connections
 };
 
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -9,6 +9,11 @@
 
 constexpr std::size_t kMaxLengthLineBytes = 24;
 
+/// The memory of a string outside the string itself. Short texts need none.
+std::size_t heap_bytes(const std::string& text) {
+    return text.capacity() > std::string().capacity() ? text.capacity() + 1 : 0;
+}
+
 }  // namespace
 
 std::optional<Command> Parser::next() {
@@ -21,11 +26,23 @@
         }
         if (!read_argument()) return discard_parsed(), std::nullopt;
         if (--missing_arguments_ > 0) continue;
-        command_bytes_ = 0;
+        command_bytes_ = command_held_bytes_ = 0;
+        if (parsed_bytes_ == buffer_.size()) discard_parsed();
         return std::exchange(command_, {});
     }
 }
 
+std::size_t Parser::held_bytes() const { return heap_bytes(buffer_) + command_held_bytes_; }
+
+/// Assigning an empty parser would keep the buffer: a string that is moved from an empty one keeps its
+/// memory.
+void Parser::clear() {
+    std::string().swap(buffer_);
+    Command().swap(command_);
+    parsed_bytes_ = missing_arguments_ = command_bytes_ = command_held_bytes_ = 0;
+    argument_length_.reset();
+}
+
 /// Reads a line such as "*3" or "$5" that begins with `type`. Returns nothing if its end has not arrived yet.
 std::optional<std::size_t> Parser::read_length(char type, std::size_t max_value) {
     if (parsed_bytes_ == buffer_.size()) return std::nullopt;
@@ -52,6 +69,7 @@
     if (buffer_.compare(parsed_bytes_ + *argument_length_, 2, "\r\n") != 0)
         throw ProtocolError("an argument without an end");
     command_.push_back(buffer_.substr(parsed_bytes_, *argument_length_));
+    command_held_bytes_ += sizeof(std::string) + heap_bytes(command_.back());
     parsed_bytes_ += *argument_length_ + 2;
     command_bytes_ += *argument_length_;
     argument_length_.reset();
--- a/src/net/resp.hpp
+++ b/src/net/resp.hpp
@@ -31,8 +31,10 @@
     std::optional<Command> next();
     /// Whether the beginning of a command was received, but not its end.
     bool has_partial_command() const { return missing_arguments_ > 0 || parsed_bytes_ < buffer_.size(); }
-    /// The number of bytes that are held until the rest of their command arrives.
-    std::size_t pending_bytes() const { return buffer_.size() + command_bytes_; }
+    /// The memory that the parser holds, with the spare room of its buffers.
+    std::size_t held_bytes() const;
+    /// Discards all input and frees its memory.
+    void clear();
 
 private:
     std::optional<std::size_t> read_length(char type, std::size_t max_value);
@@ -44,7 +46,8 @@
     std::size_t missing_arguments_ = 0;           // of the current command
     std::optional<std::size_t> argument_length_;  // set once the length line of an argument was read
     Command command_;
-    std::size_t command_bytes_ = 0;  // in the arguments of command_
+    std::size_t command_bytes_ = 0;       // in the arguments of command_
+    std::size_t command_held_bytes_ = 0;  // by the arguments of command_, with their spare room
 };
 
 /// These functions format a simple string, an error and a bulk string.
