--- a/tests/client_memory_test.cpp
+++ b/tests/client_memory_test.cpp
@@ -55,6 +55,8 @@
     {"SlowlyWritten", [](int number) { return enqueue_command(number, "", kLargeBody); }, 60'000, 2'000},
     {"ManyShortFieldsHalfSent", [](int number) { return enqueue_command(number, many_short_fields(), "B"); },
         40'000},
+    {"ManyShortFields", [](int number) { return enqueue_command(number, many_short_fields(), "B"); },
+        std::string::npos},
     {"ManyShortArguments",
         [](int) {
             std::string bytes = "*16\r\n";
@@ -179,6 +181,7 @@
     node.start_successor(new_management);
     ASSERT_TRUE(wait_until_ready(new_management)) << node.log();
     add_clients(kPictures[0], kClients / 2);
+    add_clients(kPictures[4], kClients / 4);
     write_all_pieces();
     expect_answers(kPictures[0]);
     EXPECT_LT(peak_mb, kMemoryLimit_mb);
