Refuse requests whose client has left before they are accepted or relayed

Cause: the end of a connection was noticed by a write only, which follows the acceptance; a reset is reported once, and the read that is to confirm it returns what had arrived before. The system is asked now whether the peer has ended its sending before a request is accepted, held or relayed; if so it is refused with -BUSY.

Four new tests failed before and pass.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -182,6 +182,10 @@
         if (owner_.empty()) owner_.emptied_();
     }
 
+    void send_reply(std::string text) {
+        if (!closed_) write(std::move(text));
+    }
+    bool client_has_left() { return closed_ || peer_has_left(socket_); }
     /// Ends a connection between requests. All its requests have their replies,
     /// and data that arrives from now on belongs to requests that are not read.
     void close_gracefully() {
@@ -233,8 +237,7 @@
         count_held();
         if (command) {
             set_state(State::AwaitingReply);
-            return owner_.handle(*command,
-                [self = shared_from_this()](std::string text) { self->send_reply(std::move(text)); });
+            return owner_.handle(*command, shared_from_this());
         }
         if (parser_.has_partial_command()) {
             if (state_ != State::PartialCommand) set_state(State::PartialCommand);
@@ -259,9 +262,6 @@
         held_bytes_ = parser_.held_bytes();
     }
 
-    void send_reply(std::string text) {
-        if (!closed_) write(std::move(text));
-    }
     void write(std::string text) {
         set_state(State::WritingReply);
         reply_ = std::move(text);
@@ -531,8 +531,9 @@
     return true;
 }
 
-void ClientServer::handle(const resp::Command& command, const Reply& reply) {
+void ClientServer::handle(const resp::Command& command, const std::shared_ptr<ClientSession>& session) {
     using boost::algorithm::iequals;
+    const Reply reply = [session](std::string text) { session->send_reply(std::move(text)); };
     if (iequals(command[0], "PING") && unready_) return reply(resp::error("BUSY draining"));
     if (iequals(command[0], "PING") && command.size() == 2 && command[1].size() > kMaxPingBytes)
         return reply(resp::error("ERR too long for PING"));
@@ -549,7 +550,7 @@
             if (character < ' ' || character > '~') character = '?';
         return reply(resp::error(text));
     }
-    enqueue_(std::move(message), left, reply);
+    enqueue_({std::move(message), left, reply, [session] { return session->client_has_left(); }});
 }
 
 }  // namespace lockgw
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -24,8 +24,15 @@
 class ClientServer {
 public:
     using Reply = std::function<void(std::string)>;
-    /// Called for each valid ENQUEUE. It calls the reply function once, during this call or later.
-    using Enqueue = std::function<void(Message, cometspoke::Time left, Reply)>;
+    /// The open request of a client.
+    struct Request {
+        Message message;
+        cometspoke::Time time_left{0};
+        Reply reply;                            ///< is called once
+        std::function<bool()> client_has_left;  ///< whether nobody waits for the reply any more
+    };
+    /// Called for each valid ENQUEUE. The reply function is called during this call or later.
+    using Enqueue = std::function<void(Request)>;
 
     /// Called whenever the last connection has been closed.
     using Emptied = std::function<void()>;
@@ -87,7 +94,7 @@
     void close_expired();
     void limit_held_bytes();
     std::shared_ptr<ClientSession> session_to_reject() const;
-    void handle(const resp::Command& command, const Reply& reply);
+    void handle(const resp::Command& command, const std::shared_ptr<ClientSession>& session);
 
     asio::io_context& io_;
     const Config& config_;
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -211,9 +211,7 @@
       peer_channel_(io, config_, [this](const PeerMessage& message) { observe(message); }),
       clients_(
           io, config_, clock_, max_client_connections(config_),
-          [this](Message message, Time time_left, ClientServer::Reply reply) {
-              enqueue(std::move(message), time_left, std::move(reply));
-          },
+          [this](ClientServer::Request request) { enqueue(std::move(request)); },
           [this] { asio::post(io_, [this] { stop_if_done(); }); }),
       management_(io, [this](const OperatorCall& call,
                           const Management::Reply& reply) { handle_operator_call(call, reply); }),
@@ -488,8 +486,9 @@
     for (const RetryAfterEvent& event : take_kept_retry_afters()) share_retry_after(event);
     for (const OutcomeEvent& event : std::exchange(unreported_outcomes_, {}))
         handover_.send(to_handover_message(event));
+    refuse_pending_of_left_clients();
     for (const PendingEnqueue* pending : pending_enqueues_by_arrival())
-        handover_.send(to_handover_message(pending->message));
+        handover_.send(to_handover_message(pending->request.message));
     for (const auto& [number, relayed] : relayed_operator_calls_)
         handover_.send(to_handover_message(number, relayed.call));
     if (reload_pending_) handover_.send(kReloadMessage);
@@ -562,11 +561,29 @@
     const auto sorted = pending_enqueues_by_arrival();
     const auto kept = std::exchange(pending_enqueues_, {});  // The pointers stay valid.
     for (PendingEnqueue* pending : sorted) {
-        const Time time_left = pending->message.deadline - clock_.now();
-        enqueue(std::move(pending->message), time_left, std::move(pending->reply));
+        pending->request.time_left = pending->request.message.deadline - clock_.now();
+        enqueue(std::move(pending->request));
     }
 }
 
+/// A client waits for its reply only for a short time, and may then enqueue the message again.
+void Forwarder::refuse_pending_of_left_clients() {
+    for (auto at = pending_enqueues_.begin(); at != pending_enqueues_.end();) {
+        if (!at->second.request.client_has_left()) {
+            ++at;
+            continue;
+        }
+        refuse_left_client(at->second.request);
+        at = pending_enqueues_.erase(at);
+    }
+}
+
+/// The reply is read by a client that has only ended its sending: handing in again is harmless.
+void Forwarder::refuse_left_client(const ClientServer::Request& request) {
+    log_.message(MessageStep::Refused, request.message.id, "client_left");
+    request.reply(busy_reply(0ms));
+}
+
 void Forwarder::receive(const Json& handover_message) {
     if (handover_message.contains("outcome")) {
         OutcomeEvent event = parse_outcome(handover_message["outcome"]);
@@ -578,16 +595,11 @@
     } else if (handover_message.contains("retry_after")) {
         receive_retry_after(handover_message["retry_after"]);
     } else if (handover_message.contains("enqueue")) {
-        Message message = parse_message(handover_message["enqueue"]);
-        const Time time_left = message.deadline - clock_.now();
-        const MessageId id = message.id;
-        enqueue(std::move(message), time_left, [this, id](const std::string& text) {
-            handover_.send({{"answer", {{"id", id}, {"text", text}}}});
-        });
+        receive_enqueue(handover_message["enqueue"]);
     } else if (handover_message.contains("answer")) {
         auto extracted = pending_enqueues_.extract(handover_message["answer"].at("id").get<MessageId>());
         if (!extracted.empty())
-            extracted.mapped().reply(handover_message["answer"].at("text").get<std::string>());
+            extracted.mapped().request.reply(handover_message["answer"].at("text").get<std::string>());
     } else if (handover_message.contains("operate")) {
         const Json& fields = handover_message["operate"];
         const auto number = fields.at("number").get<std::uint64_t>();
@@ -614,6 +626,18 @@
     }
 }
 
+/// A request that a client has sent to the previous process.
+void Forwarder::receive_enqueue(const Json& json) {
+    ClientServer::Request request;
+    request.message = parse_message(json);
+    request.time_left = request.message.deadline - clock_.now();
+    request.reply = [this, id = request.message.id](const std::string& text) {
+        handover_.send({{"answer", {{"id", id}, {"text", text}}}});
+    };
+    request.client_has_left = [] { return false; };  // The previous process has just checked it.
+    enqueue(std::move(request));
+}
+
 /// The connections of the previous process have ended with it. A call of which nothing was written at the
 /// handover has not run, since a replaced process writes no further calls; any other one may have run.
 Outcome Forwarder::outcome_of_ended_predecessor(const AttemptId& attempt) const {
@@ -758,40 +782,59 @@
 /// While the process is being replaced, requests wait for the next owner with their bodies.
 bool Forwarder::has_room_for_pending(const Message& message) const {
     std::size_t bytes = message.body.size();
-    for (const auto& [id, pending] : pending_enqueues_) bytes += pending.message.body.size();
+    for (const auto& [id, pending] : pending_enqueues_) bytes += pending.request.message.body.size();
     return bytes <= config_.memory_bytes / kPendingEnqueuesMemoryDivisor;
 }
 
-void Forwarder::enqueue(Message message, Time time_left, ClientServer::Reply reply) {
-    const MessageId id = message.id;
-    if (const auto duplicate = pending_enqueues_.find(id); duplicate != pending_enqueues_.end()) {
-        duplicate->second.reply = [first = std::move(duplicate->second.reply), reply = std::move(reply)](
-                                      const std::string& text) {
-            first(text);
-            reply(text);
-        };
-        return;
-    }
-    if (!has_room_for_pending(message)) return reply(busy_reply(kFullRetryAfter));
-    if (role_ == Role::Offered || role_ == Role::Released) {  // The reply comes from the next owner.
-        if (role_ == Role::Released) handover_.send(to_handover_message(message));
-        pending_enqueues_.emplace(id, PendingEnqueue{std::move(message), std::move(reply), ++enqueue_count_});
-        return;
-    }
-    // A client that lost its connection enqueues the same id again; the message is already held or has ended.
-    if (journal_->find(id) != nullptr || ended_ids_.contains(id)) return reply(resp::simple("OK"));
+/// Both clients get the reply of a request whose id is pending already. Returns false if it is not.
+bool Forwarder::merge_with_pending(ClientServer::Request& request) {
+    const auto found = pending_enqueues_.find(request.message.id);
+    if (found == pending_enqueues_.end()) return false;
+    ClientServer::Request& first = found->second.request;
+    first.reply = [first = std::move(first.reply), second = std::move(request.reply)](
+                      const std::string& text) {
+        first(text);
+        second(text);
+    };
+    first.client_has_left = [first = std::move(first.client_has_left),
+                                second = std::move(request.client_has_left)] { return first() && second(); };
+    return true;
+}
+
+void Forwarder::hold_as_pending(ClientServer::Request request) {
+    const MessageId id = request.message.id;
+    pending_enqueues_.emplace(id, PendingEnqueue{std::move(request), ++enqueue_count_});
+}
+
+/// Returns the reply to a request that is not accepted, whatever the decision module would say of it.
+std::optional<std::string> Forwarder::refusal_of(const Message& message) const {
     if (!directory_.has_destination(message.destination, std::chrono::steady_clock::now()) &&
         !directory_.empty())
-        return reply(
-            full_list_received_ ? resp::error("ERR unknown destination") : busy_reply(kFullRetryAfter));
+        return full_list_received_ ? resp::error("ERR unknown destination") : busy_reply(kFullRetryAfter);
     if (journal_->open_message_count() + pending_enqueues_.size() >= config_.settings.max_held_messages)
-        return reply(busy_reply(kFullRetryAfter));
+        return busy_reply(kFullRetryAfter);
+    return std::nullopt;
+}
+
+void Forwarder::enqueue(ClientServer::Request request) {
+    if (merge_with_pending(request)) return;
+    const Message& message = request.message;
+    // A client that lost its connection enqueues the same id again; the message is already held or has ended.
+    if (role_ == Role::Owner && (journal_->find(message.id) != nullptr || ended_ids_.contains(message.id)))
+        return request.reply(resp::simple("OK"));
+    if (request.client_has_left()) return refuse_left_client(request);
+    if (!has_room_for_pending(message)) return request.reply(busy_reply(kFullRetryAfter));
+    if (role_ != Role::Owner) {  // The reply comes from the next owner.
+        if (role_ == Role::Released) handover_.send(to_handover_message(message));
+        return hold_as_pending(std::move(request));
+    }
+    if (const auto refusal = refusal_of(message)) return request.reply(*refusal);
     MessageEvent event;
-    event.message = id;
+    event.message = message.id;
     event.destination = message.destination;
     resolve_class(message, event);
-    event.time_left = time_left;
-    pending_enqueues_.emplace(id, PendingEnqueue{std::move(message), std::move(reply), ++enqueue_count_});
+    event.time_left = request.time_left;
+    hold_as_pending(std::move(request));
     observe(event);
 }
 
@@ -917,10 +960,10 @@
     const auto kept = std::exchange(pending_enqueues_, {});  // The pointers stay valid.
     for (const PendingEnqueue* pending : sorted)
         run_guarded([&] {
-            const MessageId id = pending->message.id;
+            const MessageId id = pending->request.message.id;
             const auto end = ends.find(id);
             if (end != ends.end()) log_.message(MessageStep::Refused, id, "decision");
-            pending->reply(end != ends.end() ? end->second : accept_message(pending->message));
+            pending->request.reply(end != ends.end() ? end->second : accept_message(pending->request));
         });
 }
 
@@ -933,14 +976,16 @@
     std::cerr << "lockgw: the wall clock was stepped by " << step.count() / 1000 << " ms\n";
 }
 
-std::string Forwarder::accept_message(const Message& message) {
-    if (journal_->accept(message)) {
-        log_.message(MessageStep::Accepted, message.id);
+std::string Forwarder::accept_message(const ClientServer::Request& request) {
+    const MessageId id = request.message.id;
+    const bool client_has_left = request.client_has_left();
+    if (!client_has_left && journal_->accept(request.message)) {
+        log_.message(MessageStep::Accepted, id);
         return resp::simple("OK");
     }
-    log_.message(MessageStep::Refused, message.id, "journal");
-    observe(AbandonedEvent{message.id});
-    return busy_reply(kFullRetryAfter);
+    log_.message(MessageStep::Refused, id, client_has_left ? "client_left" : "journal");
+    observe(AbandonedEvent{id});
+    return busy_reply(client_has_left ? 0ms : kFullRetryAfter);
 }
 
 /// Records the attempt in the journal before it is sent, because after a crash it may have run.
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -41,8 +41,7 @@
 private:
     /// An enqueue request of this event-loop iteration or handover whose client has no reply yet.
     struct PendingEnqueue {
-        Message message;
-        ClientServer::Reply reply;
+        ClientServer::Request request;
         std::uint64_t arrival = 0;
     };
 
@@ -94,7 +93,13 @@
     void complete_removals(EndpointList& update);
     Json removed_endpoints_json() const;
     void apply_list(EndpointList update, cometspoke::ListUpdateKind kind);
-    void enqueue(Message message, cometspoke::Time time_left, ClientServer::Reply reply);
+    void enqueue(ClientServer::Request request);
+    bool merge_with_pending(ClientServer::Request& request);
+    void hold_as_pending(ClientServer::Request request);
+    std::optional<std::string> refusal_of(const Message& message) const;
+    void refuse_pending_of_left_clients();
+    void refuse_left_client(const ClientServer::Request& request);
+    void receive_enqueue(const Json& json);
     bool has_room_for_pending(const Message& message) const;
     void on_outcome(const cometspoke::OutcomeEvent& event);
     void on_retry_after(const cometspoke::RetryAfterEvent& event);
@@ -106,7 +111,7 @@
     void observe(const cometspoke::Event& event);
     void run_iteration();
     void reply_to_pending_enqueues(const std::vector<cometspoke::Action>& actions);
-    std::string accept_message(const Message& message);
+    std::string accept_message(const ClientServer::Request& request);
     template <class Step>
     void run_guarded(Step step);
     void stop_if_done();
--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -1,5 +1,6 @@
 #include "socket_io.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/error.hpp>
@@ -69,4 +70,12 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool peer_has_left(boost::asio::ip::tcp::socket& socket) {
+    pollfd entry{socket.native_handle(), POLLRDHUP, 0};
+    int count = -1;
+    do count = ::poll(&entry, 1, 0);
+    while (count < 0 && errno == EINTR);
+    return count == 1 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 }  // namespace lockgw
--- a/src/net/socket_io.hpp
+++ b/src/net/socket_io.hpp
@@ -47,6 +47,10 @@
 /// request. Detects what the event loop has not reported yet.
 bool is_quiet(boost::asio::ip::tcp::socket& socket);
 
+/// Whether the peer has closed the connection, or at least its sending side, or the connection was reset.
+/// Detects it even if there is unread data, which the peer sent before.
+bool peer_has_left(boost::asio::ip::tcp::socket& socket);
+
 /// For acceptors that use async_accept. Without this option Asio ignores a connection that was aborted in the
 /// queue and waits for a new one to arrive, although others are waiting in the queue.
 inline const boost::asio::socket_base::enable_connection_aborted kReportAborted{true};
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -406,6 +406,34 @@
     EXPECT_GE(Clock::now() - killed_at, kSettleTime);
 }
 
+// Failure: a request that was read during a replacement was relayed to the new process and sent on, although
+// its client had left before.
+TEST_F(HandoverTest, DoesNotRelayRequestsOfClientsThatHaveLeft) {
+    node.start_ready();
+    std::optional<Client> leaving(node.address());
+    Client staying = node.client();
+    const auto request = [](const std::string& message) {
+        return "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$16\r\n" + message +
+               "\r\n$28\r\nc=safe,t=acme,d=30000,dest=7\r\n$1\r\nB\r\n";
+    };
+    ASSERT_EQ(leaving->ask({"PING"}), "+PONG");
+    ASSERT_EQ(staying.ask({"PING"}), "+PONG");
+    FalseClaim claim(node.state());
+    claim.send({{"step", "claim"}});
+    ASSERT_EQ(claim.receive()["step"], "offer");
+    leaving->send(request(id));
+    staying.send(request(second));
+    ASSERT_EQ(operate(old_management, "GET", "/counters"), 200);  // both have been read
+    leaving.reset();
+    claim.send({{"step", "ready"}});
+    ASSERT_EQ(claim.receive()["step"], "go");
+    const Json message = claim.receive();
+    ASSERT_TRUE(message.contains("enqueue")) << message;
+    const auto& bytes = message["enqueue"].get_binary();
+    EXPECT_EQ(parse_message_record({reinterpret_cast<const char*>(bytes.data()), bytes.size()}).id,
+        std::stoull(second, nullptr, 16));
+}
+
 TEST_F(HandoverTest, BindsItsOwnListenerWhenNoneIsInherited) {
     Node standalone(node.config());
     standalone.start_ready();
--- a/tests/misbehaving_client_test.cpp
+++ b/tests/misbehaving_client_test.cpp
@@ -1,4 +1,6 @@
 // Tests with clients that send malformed input, too much, too little or nothing.
+#include <boost/asio/read.hpp>
+
 #include "node_fixture.hpp"
 
 namespace lockgw {
@@ -208,5 +210,55 @@
     EXPECT_LE(remaining, before);
 }
 
+/// A client sends several requests while the process is stopped and leaves, in order or with a reset.
+class LeavingClientTest : public MisbehavingClientTest, public ::testing::WithParamInterface<bool> {
+protected:
+    static void leave(Tcp::socket& socket, bool by_reset) {
+        if (by_reset) socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+    }
+    std::string requests(int count) {
+        std::string bytes;
+        for (int i = 0; i < count; ++i)
+            bytes += command(
+                {"ENQUEUE", "0", "00000000000000c" + std::to_string(i), "c=safe,t=acme,d=30000,dest=7", "B"});
+        return bytes;
+    }
+    asio::io_context io;
+};
+
+// Failure: requests that were still unread when their client had closed its connection, or had reset it, were
+// accepted and sent on. The client hands them in again with new ids.
+TEST_P(LeavingClientTest, DoesNotAcceptRequestsThatAreReadAfterTheirClientHasLeft) {
+    node.start_ready();
+    Tcp::socket leaving(io);
+    leaving.connect(node.address());
+    ::kill(node.pid(), SIGSTOP);
+    asio::write(leaving, asio::buffer(requests(5)));
+    leave(leaving, GetParam());
+    ::kill(node.pid(), SIGCONT);
+    Client client = node.client();
+    ASSERT_EQ(client.ask({"PING"}), "+PONG");
+    expect_served(client, id);
+    EXPECT_TRUE(endpoint_stub.none_within(300ms));
+}
+INSTANTIATE_TEST_SUITE_P(ByReset, LeavingClientTest, ::testing::Bool());
+
+// A client that only ends its sending still reads its reply, and may hand in again.
+TEST_F(LeavingClientTest, RefusesRequestsOfAClientThatHasEndedItsSending) {
+    node.start_ready();
+    Tcp::socket half_closed(io);
+    half_closed.connect(node.address());
+    ::kill(node.pid(), SIGSTOP);
+    asio::write(half_closed, asio::buffer(requests(1)));
+    half_closed.shutdown(Tcp::socket::shutdown_send);
+    ::kill(node.pid(), SIGCONT);
+    std::string reply;
+    boost::system::error_code error;
+    asio::read(half_closed, asio::dynamic_buffer(reply), error);
+    EXPECT_EQ(reply, "-BUSY\r\n");
+    EXPECT_TRUE(endpoint_stub.none_within(100ms));
+}
+
 }  // namespace
 }  // namespace lockgw
