Keep the ids of ended messages as long as a copy may come, within a bound

Cause: an ended id was kept until the deadline of its own request, but a copy brings another one; ids were forgotten in the order in which they ended, so that one of a long deadline kept all behind it, without a bound. They are kept for the class's time limit beyond the deadline now, expire by time, and take a sixteenth of the memory limit at most.

Both tests on ids failed before and pass.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -33,6 +33,8 @@
 // The bodies of requests without a reply may take 1/16 of the memory limit. A replaced process holds them
 // twice, once to send them to the next owner.
 constexpr std::size_t kPendingEnqueuesMemoryDivisor = 16;
+// The ids of ended messages may take 1/16 of the memory limit.
+constexpr std::size_t kEndedIdsMemoryDivisor = 16;
 // Interval at which the new owner is sent the connections that this process still holds.
 constexpr auto kHeldCountsInterval = 100ms;
 // A replaced process that no signal ends stays this long for the calls and clients that it still holds.
@@ -223,7 +225,8 @@
       held_counts_timer_(io),
       linger_timer_(io),
       write_retry_timer_(io),
-      clock_offset_(wall_clock_offset()) {}
+      clock_offset_(wall_clock_offset()),
+      ended_ids_(config_.memory_bytes / kEndedIdsMemoryDivisor) {}
 
 void Forwarder::start() {
     if (config_.management) management_.listen(*config_.management);
@@ -693,7 +696,7 @@
     end_attempts_of_ended_process(active_attempts);
     const PersistentTime wall = clock_.now();
     const auto ended_ids = journal_->ended_ids();
-    for (const auto& [until, id] : ended_ids) remember_ended(id, until);
+    for (const auto& [expiry, id] : ended_ids) remember_ended(id, expiry);
     for (const JournalEntry* entry : journal_->entries_by_arrival()) {
         const Message& message = entry->message;
         const auto possible_run = entry->first_possible_run();
@@ -704,7 +707,7 @@
             possible_run ? printable(possible_run->endpoint) : "", entry->attempts);
         counters().add(Counter::MessagesRecovered);
         if (entry->notice) {
-            remember_ended(message.id, message.deadline);
+            remember_ended(message.id, message.id_expiry());
             discovery_.report(message.id, *entry->notice);
             continue;
         }
@@ -906,7 +909,7 @@
         counters().add(Counter::LateDeliveries);
         return end_message(entry.message.id, {});
     }
-    remember_ended(entry.message.id, entry.message.deadline);
+    remember_ended(entry.message.id, entry.message.id_expiry());
     retry_unless_recorded(journal_->delivered(entry.message.id));
 }
 
@@ -1034,7 +1037,7 @@
     const JournalEntry* entry = journal_->find(id);
     if (entry == nullptr) return;  // Its client has received the reply.
     log_.message(MessageStep::Ended, id, notice.bounced ? "bounced" : "dead");
-    remember_ended(id, entry->message.deadline);
+    remember_ended(id, entry->message.id_expiry());
     if (journal_->end(id, notice)) return discovery_.report(id, notice);
     counters().add(Counter::JournalEndsDelayed);
     unrecorded_ends_.insert(id);
@@ -1072,13 +1075,11 @@
 
 /// An id is enqueued again by a client that lost its connection, and by clients that copy the id of another
 /// message.
-void Forwarder::remember_ended(MessageId ended, PersistentTime until) {
+void Forwarder::remember_ended(MessageId ended, PersistentTime expiry) {
     const PersistentTime now = clock_.now();
     journal_->forget_ended_ids(now);
-    for (; !ended_ids_by_deadline_.empty() && ended_ids_by_deadline_.front().first <= now;
-         ended_ids_by_deadline_.pop_front())
-        ended_ids_.erase(ended_ids_by_deadline_.front().second);
-    if (ended_ids_.insert(ended).second) ended_ids_by_deadline_.emplace_back(until, ended);
+    ended_ids_.expire(now);
+    ended_ids_.insert(ended, expiry);
 }
 
 void Forwarder::handle_operator_call(const OperatorCall& call, const Management::Reply& reply) {
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,6 +12,7 @@
 #include "client_server.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
+#include "ended_ids.hpp"
 #include "endpoint_caller.hpp"
 #include "endpoint_directory.hpp"
 #include "event_log.hpp"
@@ -135,7 +135,7 @@
     void report_recorded_ends(bool recorded);
     void check_wall_clock();
     void on_delivered(const JournalEntry& entry, cometspoke::Outcome outcome);
-    void remember_ended(MessageId ended, PersistentTime until);
+    void remember_ended(MessageId ended, PersistentTime expiry);
 
     asio::io_context& io_;
     Config config_;
@@ -179,8 +179,7 @@
     std::chrono::microseconds clock_offset_{0};  // Wall clock minus monotonic clock, when last read.
     std::set<MessageId> unrecorded_ends_;        // Not yet recorded, and so not notified.
     std::optional<std::chrono::steady_clock::time_point> journal_unreadable_since_;  // At a start.
-    std::set<MessageId> ended_ids_;  // Before their deadlines; none of them is accepted again.
-    std::deque<std::pair<PersistentTime, MessageId>> ended_ids_by_deadline_;
+    EndedIds ended_ids_;  // None of them is accepted again.
 };
 
 }  // namespace lockgw
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -416,7 +416,7 @@
         std::string().swap(entry.message.body);
     } else {
         if (!entry.notice) --open_message_count_;
-        add_ended_id(entry.message.deadline, id);
+        add_ended_id(entry.message.id_expiry(), id);
         entries_.erase(found);
         return true;
     }
--- a/src/net/journal.hpp
+++ b/src/net/journal.hpp
@@ -37,6 +37,12 @@
     /// The settings of its class when the message was accepted. A later configuration may lack the class or
     /// define it differently.
     std::optional<cometspoke::ClassSettings> class_settings{};
+
+    /// No copy of the message may be delivered after this time: its class allows it no longer, whenever the
+    /// client sent it, and a copy may state a later deadline than the message itself.
+    PersistentTime id_expiry() const {
+        return deadline + (class_settings ? class_settings->deadline : cometspoke::Time(0));
+    }
 };
 struct StartedAttempt {
     PersistentTime since{};
@@ -110,7 +116,7 @@
     /// The entries in the order in which their messages were accepted.
     std::vector<const JournalEntry*> entries_by_arrival() const;
 
-    /// Ids of finished messages by their deadline; none of them may be accepted again. Only as many are kept
+    /// Ids of finished messages by their expiry; none of them may be accepted again. Only as many are kept
     /// as there is room for.
     const std::multimap<PersistentTime, MessageId>& ended_ids() const { return ended_ids_; }
     void forget_ended_ids(PersistentTime now);
--- a/tests/attempt_record_test.cpp
+++ b/tests/attempt_record_test.cpp
@@ -164,5 +164,32 @@
     EXPECT_GE(Clock::now() - refused_at, kRetryAfter);
 }
 
+// Failure: an id that came again after its first deadline, with a new one, ran a second time. Its client had
+// left.
+TEST_F(AttemptRecordTest, DoesNotRunAnIdAgainThatComesAfterItsDeadline) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "unsafe", 500), "+OK");
+    endpoint_stub.next().respond(200);
+    let_time_pass(600ms);
+    Client later = node.client();
+    EXPECT_EQ(enqueue(later, id, "unsafe"), "+OK");
+    EXPECT_TRUE(endpoint_stub.none_within(200ms));
+}
+
+// Failure: the same at the new process of a replacement.
+TEST_F(AttemptRecordTest, DoesNotRunAnIdAgainThatComesToTheNewProcessAfterItsDeadline) {
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "unsafe", 500), "+OK");
+    endpoint_stub.next().respond(200);
+    start_replacement();
+    let_time_pass(600ms);
+    stop_predecessor();
+    Client later = node.client();
+    EXPECT_EQ(enqueue(later, id, "unsafe"), "+OK");
+    EXPECT_TRUE(endpoint_stub.none_within(200ms));
+}
+
 }  // namespace
 }  // namespace lockgw
