--- a/tests/client_memory_test.cpp
+++ b/tests/client_memory_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 
 #include <numeric>
+#include <thread>
 
 #include "false_claim.hpp"
 #include "handover_fixture.hpp"
@@ -106,6 +107,8 @@
     Tcp::socket socket_;
 };
 
+struct Flood;
+
 class ClientMemoryTest : public HandoverTest, public ::testing::WithParamInterface<int> {
 protected:
     ClientMemoryTest() {
@@ -132,6 +135,7 @@
             measure();
         }
     }
+    void send_until(const std::atomic<bool>& stopping, const Flood& flood);
     void measure() {
         const double held = memory_mb(node.pid(), "VmRSS") + memory_mb(node.previous_pid(), "VmRSS");
         peak_mb = std::max({peak_mb, held, memory_mb(node.pid(), "VmHWM")});
@@ -214,6 +218,72 @@
     EXPECT_LT(peak_mb, kMemoryLimit_mb);
 }
 
+/// What one client sends on one connection as fast as the process reads it.
+struct Flood {
+    const char* name;
+    std::string (*request)(int number);
+};
+const Flood kFloods[] = {
+    {"UnsoundRequests", [](int) { return resp_command({"x"}); }},
+    {"EmptyRequests", [](int) { return std::string("*0\r\n"); }},
+    {"UnknownClasses",
+        [](int number) {
+            return resp_command(
+                {"ENQUEUE", "0", "9b1f03aa5c7e2d41", "c=" + std::to_string(number) + ",d=9,dest=7", "B"});
+        }},
+    {"NewDestinations",
+        [](int number) {
+            const std::string fields = "c=safe,t=acme,d=8000,dest=" + std::to_string(1000 + number);
+            return resp_command({"ENQUEUE", "0", "9b1f03aa5c7e2d41", fields, "B"});
+        }},
+    {"NewIds", [](int number) { return enqueue_command(number, "", "B"); }},
+    {"NewIdsOfShortMessages", [](int number) { return enqueue_command(number, ",d=1", "B"); }},
+};
+
+/// Sends the requests on one connection, whose replies it reads and discards.
+void ClientMemoryTest::send_until(const std::atomic<bool>& stopping, const Flood& flood) {
+    asio::io_context io;
+    Tcp::socket socket(io);
+    socket.connect(node.address());
+    socket.non_blocking(true);
+    std::string bytes, replies(64 * 1024, '\0');
+    boost::system::error_code error;
+    for (int number = 1; !stopping && (!error || error == asio::error::would_block);) {
+        for (; bytes.size() < replies.size(); ++number) bytes += flood.request(number);
+        bytes.erase(0, socket.write_some(asio::buffer(bytes), error));
+        boost::system::error_code ignored;
+        socket.read_some(asio::buffer(replies), ignored);
+    }
+}
+
+// Guards against: one client that floods a connection while hundreds stop half way keeps others from their
+// replies, or makes the memory grow.
+TEST_P(ClientMemoryTest, ServesOthersWhileOneClientFloodsAndHundredsStopHalfWay) {
+    constexpr auto kFloodTime = 1500ms;
+    for (const Flood& flood : kFloods) {
+        peak_mb = 0.0;
+        node.start_ready();
+        add_clients(kPictures[0], kClients / 2);
+        std::atomic<bool> stopping = false;
+        std::thread flooder([&] { send_until(stopping, flood); });
+        const auto until = Clock::now() + kFloodTime;
+        while (Clock::now() < until) {
+            const auto asked_at = Clock::now();
+            Client other = node.client();
+            EXPECT_NE(other.ask({"ENQUEUE", "0", "00000000000000aa", "c=safe,t=acme,d=8000,dest=7", "B"}), "")
+                << flood.name;
+            EXPECT_LT(Clock::now() - asked_at, kMaxReplyTime) << flood.name;
+            measure();
+        }
+        stopping = true;
+        flooder.join();
+        EXPECT_LT(peak_mb, kMemoryLimit_mb) << flood.name;
+        clients.clear();
+        node.kill();
+        node.wait();
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Descriptors, ClientMemoryTest, ::testing::Values(256, 1024));
 
 }  // namespace
