Ask again whether a message has ended before a call that waited for its connection is written

Callers could see a call go out after the notice of its message's end: a call on a kept connection may wait up to 2 ms for the connection to be quiet, and was written then without asking again whether the message had ended, had been cancelled or the endpoint told to wait. A second record that the attempt is written is left out.

--- a/src/net/endpoint_caller.cpp
+++ b/src/net/endpoint_caller.cpp
@@ -155,7 +155,7 @@
         timer_.expires_at(quiet_at);
         timer_.async_wait(guarded([this](auto cancelled) {
             if (cancelled) return;
-            if (quiet()) return write_request();
+            if (quiet()) return start_connected();  // Messages may have ended meanwhile.
             counters().add(Counter::StaleConnections);
             boost::system::error_code ignored;
             socket_.close(ignored);
@@ -222,8 +222,8 @@
         return earliest;
     }
 
-    /// Continues the call on a new connection, which may have been established late. Attempts that may not
-    /// start any more are removed from the call; the others go on.
+    /// Continues the call on a connection that was established, or became quiet, after the call was decided.
+    /// Attempts that may not start any more are removed from the call; the others go on.
     void start_connected() {
         const bool address_valid = caller_.has_address(endpoint_, address_);
         std::vector<OutgoingAttempt> started, withheld;
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -462,6 +462,8 @@
     return append(writer.bytes()) && apply(writer.bytes());
 }
 bool Journal::mark_attempt_written(MessageId id) {
+    const JournalEntry* entry = find(id);
+    if (entry != nullptr && entry->open_attempt && entry->open_attempt->written) return true;
     const RecordWriter writer = RecordWriter(RecordType::Written).number(id);
     return append(writer.bytes()) && apply(writer.bytes());
 }
--- a/tests/endpoint_caller_test.cpp
+++ b/tests/endpoint_caller_test.cpp
@@ -500,6 +500,34 @@
 INSTANTIATE_TEST_SUITE_P(EndpointCaller, SurplusAfterAResponse,
     ::testing::Values("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "noise", "HTTP/1.1 20"));
 
+// Failure: a call was written after its message had ended. It had been decided just before and waited for its
+// connection to be quiet.
+TEST(EndpointCaller, AsksAgainBeforeItWritesOnAConnectionThatHadToBecomeQuiet) {
+    HttpStub endpoint_stub;
+    const Config config = read_config(make_config("127.0.0.1:1", "127.0.0.1:1"));
+    asio::io_context io;
+    bool message_ended = false;
+    std::function<void()> on_first_outcome;
+    std::map<MessageId, cometspoke::Outcome> outcomes;
+    EndpointCaller caller(
+        io, config, 8, [&](auto...) { return !message_ended; }, [](auto) {},
+        [&](const cometspoke::OutcomeEvent& event) {
+            outcomes[event.message] = event.outcome;
+            if (event.message == 1) on_first_outcome();
+        });
+    caller.set_address(1, tcp_endpoint(endpoint_stub.address(), "target"), 0);
+    const auto attempt = [](MessageId id) { return OutgoingAttempt{id, 1, 0, "", "B", 20s, std::nullopt}; };
+    on_first_outcome = [&] {
+        caller.start({attempt(2)});
+        message_ended = true;
+    };
+    caller.start({attempt(1)});
+    next_exchange(io, endpoint_stub).respond(200);
+    while (outcomes.size() < 2) ASSERT_GT(io.run_one_for(kDeadline), 0u);
+    EXPECT_EQ(outcomes[2], cometspoke::Outcome::Withheld);
+    EXPECT_TRUE(endpoint_stub.none_within(100ms));
+}
+
 // Only those messages are removed from a batch call that may not start any more.
 TEST(EndpointCaller, WritesOnlyAttemptsThatMayStart) {
     HttpStub endpoint_stub;
