Write no call in the last 5 ms of its message's time

Trace: a restart is ready in the last millisecond of the message's time, step=begun is followed by step=ended reason=dead, and call and notice are seen within the same millisecond. may_start() let a call be written until the very deadline.

The test has both sides of the bound and failed before.

--- a/src/sender.cpp
+++ b/src/sender.cpp
@@ -231,7 +231,8 @@
         const auto attempt = attempts_.find({id, attempt_number});
         if (found == messages_.end() || attempt == attempts_.end() || attempt->second.cancelled) return false;
         const Message& message = found->second;
-        if (message.deadline <= now || (message.ambiguous_since && now > resend_until(message))) return false;
+        if (message.deadline < now + kMinTimeLeftToStart) return false;
+        if (message.ambiguous_since && now > resend_until(message)) return false;
         const EndpointId endpoint_id = calls_.at(attempt->second.call_id).endpoint;
         return endpoints_.at(endpoint_id).destination == message.destination &&
                accepts_calls(endpoint_id, now);
--- a/src/sender_constants.hpp
+++ b/src/sender_constants.hpp
@@ -142,6 +142,9 @@
 inline constexpr Time kEndNoticeTime{100'000};
 /// A message is sent again only until this long before its deduplication window closes.
 inline constexpr Time kDedupWindowMargin{100'000};
+/// A call is written only until this long before the deadline of its message. One that is written later may
+/// reach its endpoint when the end of the message has been reported.
+inline constexpr Time kMinTimeLeftToStart{5'000};
 /// While calls are in flight, silent endpoints are looked for at this interval.
 inline constexpr Time kSilenceCheckInterval{100'000};
 
--- a/tests/sender_test.cpp
+++ b/tests/sender_test.cpp
@@ -271,6 +271,9 @@
         may_start_after([](Rig& rig, const Send&) { rig.sender.observe(AbandonedEvent{2}, rig.now); }));
     // the deadline has passed
     EXPECT_FALSE(may_start_after([](Rig& rig, const Send&) { rig.now += ms(20000); }));
+    // Failure: calls written in the last millisecond reached their endpoint after the notice of the end
+    EXPECT_FALSE(may_start_after([](Rig& rig, const Send&) { rig.now += ms(19996); }));
+    EXPECT_TRUE(may_start_after([](Rig& rig, const Send&) { rig.now += ms(19995); }));
     EXPECT_TRUE(
         may_start_after([](Rig& rig, const Send& first) { rig.outcome(first, Outcome::ServerError); }));
 }
