End connections that are never between two requests 2 s into a drain

A connection was closed only when nothing of a further request had come. Now such a request is refused with -BUSY once connections have been closing for 2 s, and the connection ends.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -28,7 +28,10 @@
 constexpr auto kMaxWaitForFirstCommand = 2s;
 constexpr auto kMaxPartialCommandTime = 2s;  // the time for the rest of a command to arrive
 constexpr auto kMaxReplyWriteTime = 2s;      // the time for a client to read its reply
-constexpr auto kMaxLingerTime = 500ms;       // the time for a client to read the last reply, such as -ERR
+// Some clients begin a request before the last one has its reply and so are never between two requests. When
+// connections are to be closed, they are refused after this time.
+constexpr auto kMaxTimeToCloseBetweenRequests = 2s;
+constexpr auto kMaxLingerTime = 500ms;  // the time for a client to read the last reply, such as -ERR
 constexpr auto kMaxIdleTime = std::chrono::seconds(60);  // between requests
 // The idle limit when more than half of the allowed connections are open.
 constexpr auto kMaxIdleTimeWhenCrowded = std::chrono::seconds(2);
@@ -193,14 +196,17 @@
         shut_down_sending();
     }
     /// Writes an error as the last reply and closes the connection after it.
-    void reject(const std::string& why) {
+    void reject(const std::string& why) { end_with("ERR " + why); }
+    /// Refuses a request that is not handled: its client may send it again on another connection.
+    void refuse() { end_with("BUSY"); }
+
+private:
+    void end_with(const std::string& error) {
         closing_ = true;
         parser_.clear();
         count_held();
-        write(resp::error("ERR " + why));
+        write(resp::error(error));
     }
-
-private:
     void set_state(State state) {
         state_since_ = Clock::now();
         auto& sessions = owner_.sessions_[state];
@@ -235,6 +241,7 @@
     void process_next_command() try {
         const auto command = parser_.next();
         count_held();
+        if ((command || parser_.has_partial_command()) && owner_.closes_at_next_request()) return refuse();
         if (command) {
             set_state(State::AwaitingReply);
             return owner_.handle(*command, shared_from_this());
@@ -244,7 +251,7 @@
             owner_.limit_held_bytes();
             if (closing_) return;
         } else {
-            if (owner_.closing_between_requests_ && state_ != State::NoCommandYet && !has_unread_data())
+            if (owner_.closing_between_requests_since_ && state_ != State::NoCommandYet && !has_unread_data())
                 return close_gracefully();
             if (state_ == State::WritingReply)
                 set_state(State::Idle);  // An empty command does not restart the idle time.
@@ -474,6 +481,7 @@
     Sessions& partial = sessions_[PartialCommand];
     while (!partial.empty() && Clock::now() - partial.front()->state_since() >= kMaxPartialCommandTime)
         std::shared_ptr(partial.front())->reject("a command without an end");
+    while (!partial.empty() && closes_at_next_request()) std::shared_ptr(partial.front())->refuse();
     accept();  // Sessions may have become old enough to be closed for new ones.
     expiry_timer_.expires_after(kExpiryCheckInterval);
     expiry_timer_.async_wait([this](auto cancelled) {
@@ -506,8 +514,14 @@
 }
 
 void ClientServer::set_closing_between_requests(bool closing) {
-    closing_between_requests_ = closing;
-    if (closing) close_inactive(Idle);
+    if (!closing) return closing_between_requests_since_.reset();
+    if (!closing_between_requests_since_) closing_between_requests_since_ = Clock::now();
+    close_inactive(Idle);
+}
+
+bool ClientServer::closes_at_next_request() const {
+    return closing_between_requests_since_ &&
+           Clock::now() - *closing_between_requests_since_ >= kMaxTimeToCloseBetweenRequests;
 }
 
 void ClientServer::close_inactive(State state) {
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config.hpp"
@@ -59,7 +60,8 @@
     /// While unready, the health check of the load balancer gets an error, so that it sends its clients to
     /// other instances.
     void set_unready(bool unready) { unready_ = unready; }
-    /// While set, connections are closed between requests. New connections are served in the same way.
+    /// While set, connections are closed between requests, and after some time at their next request. New
+    /// connections are served in the same way.
     void set_closing_between_requests(bool closing);
     /// Accepts no further connections and closes the existing ones between requests.
     void drain();
@@ -89,6 +91,7 @@
     void close_listener_when_empty();
     bool ensure_capacity();
     std::size_t connection_limit() const;
+    bool closes_at_next_request() const;
     void close_inactive(State state);
     bool close_oldest(State state, Clock::duration min_age);
     void close_expired();
@@ -106,7 +109,8 @@
     asio::steady_timer accept_retry_timer_, expiry_timer_;
     int consecutive_accept_errors_ = 0;
     bool accepting_ = false, draining_ = false, paused_ = false;
-    bool unready_ = false, closing_between_requests_ = false;
+    bool unready_ = false;
+    std::optional<Clock::time_point> closing_between_requests_since_;
     std::array<Sessions, StateCount> sessions_;
     std::size_t connection_count_ = 0;           // in all states
     std::size_t held_bytes_ = 0;                 // by the input and the replies of all connections
--- a/tests/management_test.cpp
+++ b/tests/management_test.cpp
@@ -150,5 +150,26 @@
     EXPECT_EQ(existing.ask({"PING"}), "+PONG");
 }
 
+// Failure: a client that always began a request before the last one had its reply kept its connection through
+// a drain. Each of its pieces holds the rest of a request and the beginning of the next one.
+TEST_F(ManagementTest, DrainEndsAConnectionThatIsNeverBetweenTwoRequests) {
+    constexpr auto kMaxDrainTime = 4000ms;  // from the operators' call
+    node.start_ready();
+    Client client = node.client();
+    const std::string request = "*1\r\n$4\r\nPING\r\n";
+    const std::string begun = request.substr(0, 5), piece = request.substr(5) + begun;
+    client.send(begun);
+    const auto drained_at = Clock::now();
+    ASSERT_EQ(post("/drain"), 200);
+    bool ended = false;
+    while (!ended && Clock::now() - drained_at < kMaxDrainTime) try {
+            client.send(piece);
+            ended = client.line().empty();
+        } catch (const boost::system::system_error&) {
+            ended = true;
+        }
+    EXPECT_TRUE(ended);
+}
+
 }  // namespace
 }  // namespace lockgw
