Tell the previous process what discovery says until it has ended

A new owner now sends each list and change to the previous process, which applies them when it takes back.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -202,6 +202,7 @@
           io, config_, directory_,
           [this](const EndpointList& update) {
               if (!update.has_more_batches) full_list_received_ = true;  // A delta needs a full list.
+              share_list(update);
               apply_list(update, update.complete ? ListUpdateKind::Full : ListUpdateKind::Delta);
           },
           [this](MessageId id) {
@@ -538,6 +539,7 @@
         // The other process may have had calls in flight with any key. They ended with it at the latest.
         observe(cometspoke::KeyRestEvent{std::nullopt, config_.settings.ambiguous_settle_time});
         take_over(last_offer_, calls);
+        apply_kept_lists();
         observe_kept_retry_afters();
         run_guarded([this] { peer_channel_.start(); });
     }
@@ -595,6 +597,8 @@
         event.endpoint = found->second.endpoint;
         inherited_attempts_.erase(found);
         on_outcome(event);
+    } else if (handover_message.contains("list")) {
+        keep_list(handover_message["list"]);
     } else if (handover_message.contains("retry_after")) {
         receive_retry_after(handover_message["retry_after"]);
     } else if (handover_message.contains("enqueue")) {
@@ -751,6 +755,30 @@
     }
 }
 
+/// Tells the previous process what discovery says, in case it has to go on alone: it must not send to
+/// endpoints that are known to drain.
+void Forwarder::share_list(const EndpointList& update) {
+    if (!handover_.connected_to_predecessor() || update.endpoints.size() > kMaxHandedOverEndpoints) return;
+    Json members = Json::array();
+    for (const EndpointRecord& record : update.endpoints) members.push_back(endpoint_to_json(record));
+    handover_.send({{"list", {{"revision", 0}, {"complete", update.complete}, {"members", members}}}});
+}
+
+void Forwarder::keep_list(const Json& list) {
+    if (role_ != Role::Released) return;
+    if (list.at("complete").get<bool>()) kept_lists_.clear();
+    kept_lists_.push_back(Json::to_cbor(list));
+}
+
+void Forwarder::apply_kept_lists() {
+    for (const auto& bytes : std::exchange(kept_lists_, {}))
+        run_guarded([&] {
+            EndpointList list = parse_endpoint_list(Json::from_cbor(bytes), max_list_entries(config_));
+            const auto kind = list.complete ? ListUpdateKind::Full : ListUpdateKind::Delta;
+            apply_list(std::move(list), kind);
+        });
+}
+
 void Forwarder::apply_list(EndpointList update, ListUpdateKind kind) {
     complete_removals(update);
     const auto removed_ids = directory_.apply(update, std::chrono::steady_clock::now());
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -93,6 +93,9 @@
     void complete_removals(EndpointList& update);
     Json removed_endpoints_json() const;
     void apply_list(EndpointList update, cometspoke::ListUpdateKind kind);
+    void share_list(const EndpointList& update);
+    void keep_list(const Json& list);
+    void apply_kept_lists();
     void enqueue(ClientServer::Request request);
     bool merge_with_pending(ClientServer::Request& request);
     void hold_as_pending(ClientServer::Request request);
@@ -154,7 +157,10 @@
         linger_timer_, write_retry_timer_;
     Role role_ = Role::Waiting;
     bool failed_ = false, reload_pending_ = false, linger_expired_ = false;
-    Json last_offer_;                                            // Is taken back if the other process ends.
+    Json last_offer_;  // Is taken back if the other process ends.
+    /// Lists from discovery that the new owner has received since the handover, as CBOR, which takes less
+    /// memory.
+    std::vector<std::vector<std::uint8_t>> kept_lists_;
     std::vector<cometspoke::OutcomeEvent> unreported_outcomes_;  // Since the offer; sent to the new owner.
     /// The ends of the retry-afters that either process has received since the offer.
     std::map<EndpointId, std::chrono::steady_clock::time_point> kept_retry_afters_;
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -53,6 +53,10 @@
     void claim();
     /// Sends a message to the other process, if there is one.
     void send(const Json& message);
+    /// Whether this process owns the folder and the previous owner has not ended yet.
+    bool connected_to_predecessor() const {
+        return state_ == State::Owner && connection_ && !acceptor_.is_open();
+    }
 
 private:
     enum class State { Waiting, Claiming, Claimed, Owner, Offered, Released };
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -406,6 +406,33 @@
     EXPECT_GE(Clock::now() - killed_at, kSettleTime);
 }
 
+// Failure: the old process took the folder back from a new one that was killed, and sent to an endpoint of
+// which the new one had been told that it drains.
+TEST_F(HandoverTest, KnowsOfDrainingEndpointsAfterTakingBack) {
+    HttpStub other;
+    node.config()["settings"]["family_info"]["slots"] = 4;
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    const Exchange in_flight = endpoint_stub.next();  // keeps the old process
+    start_replacement();
+    Exchange request = next_discovery_request("/v1/servers");
+    while (request.request.target() != "/v1/servers") request = next_discovery_request("/v1/servers");
+    send_endpoint_list(request,
+        list(5, true,
+            {member("s-1", endpoint_stub.address(), 7, "terminating"), member("s-2", other.address(), 8)}));
+    next_discovery_request("/v1/servers?from=5");
+    node.kill();
+    node.wait();
+    node.return_to_previous();
+    ASSERT_TRUE(wait_until_ready(old_management)) << node.log();
+    Client new_client = node.client();
+    ASSERT_EQ(enqueue(new_client, second), "+OK");
+    EXPECT_TRUE(endpoint_stub.none_within(300ms));
+    ASSERT_EQ(enqueue(new_client, third, "safe", 30000, "B", 8), "+OK");
+    EXPECT_EQ(message_id(other.next()), third);
+}
+
 // Failure: a request that was read during a replacement was relayed to the new process and sent on, although
 // its client had left before.
 TEST_F(HandoverTest, DoesNotRelayRequestsOfClientsThatHaveLeft) {
