Read the configuration again after a handover if any process before did

The offer tells now whether the file was read again, and a new owner passes a SIGHUP on to the previous process.

--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -275,6 +275,8 @@
     discovery_.start(offer ? std::nullopt : known_revision);  // A handed-over list has no revision.
     clients_.listen();
     if (offer && offer->value("drained", false)) drain();
+    // This process may have read the file before the signal that the previous one has handled.
+    if (offer && offer->value("reloaded", false)) reload_pending_ = config_was_reloaded_ = true;
     if (std::exchange(reload_pending_, false)) run_guarded([this] { reload(); });
     std::cerr << (offer ? "handover: taken over\n" : "lockgw: takes clients\n");
 }
@@ -449,7 +451,8 @@
     const bool is_small = directory_.size() <= kMaxHandedOverEndpoints;
     last_offer_ = {{"former", directory_.former_names()}, {"whole", full_list_received_},
         {"learned", is_small ? learned_state_json() : Json::array()}, {"calls", active_calls_json()},
-        {"drained", drained_}, {"removed", removed_endpoints_json()}, {"resting_keys", key_rests_json()}};
+        {"drained", drained_}, {"reloaded", config_was_reloaded_}, {"removed", removed_endpoints_json()},
+        {"resting_keys", key_rests_json()}};
     if (is_small) last_offer_["list"] = {{"revision", 0}, {"complete", true}, {"members", endpoints_json()}};
     return last_offer_;
 }
@@ -623,7 +626,8 @@
         const auto status = static_cast<boost::beast::http::status>(fields.at("status").get<int>());
         extracted.mapped().reply({status, fields.at("text").get<std::string>()});
     } else if (handover_message.contains("reload")) {
-        run_guarded([this] { reload(); });
+        if (role_ != Role::Owner) reload_pending_ = true;  // Applies if this process takes back.
+        if (role_ == Role::Owner) run_guarded([this] { reload(); });
     } else if (handover_message.contains("cancel")) {
         endpoint_caller_.cancel(handover_message["cancel"].at(0).get<MessageId>(),
             handover_message["cancel"].at(1).get<std::uint32_t>());
@@ -1179,6 +1183,8 @@
         if (role_ == Role::Released) handover_.send(kReloadMessage);
         return;
     }
+    config_was_reloaded_ = true;
+    if (handover_.connected_to_predecessor()) handover_.send(kReloadMessage);
     Config fresh = limit_calls_to_descriptors(config_of_environment(&config_));
     fresh.settings.max_calls = std::min(fresh.settings.max_calls, endpoint_caller_.max_connections());
     observe(SettingsEvent{fresh.settings});  // First, because it throws if the settings are invalid.
--- a/src/net/forwarder.hpp
+++ b/src/net/forwarder.hpp
@@ -157,7 +157,8 @@
         linger_timer_, write_retry_timer_;
     Role role_ = Role::Waiting;
     bool failed_ = false, reload_pending_ = false, linger_expired_ = false;
-    Json last_offer_;  // Is taken back if the other process ends.
+    bool config_was_reloaded_ = false;  // By this process or one before it.
+    Json last_offer_;                   // Is taken back if the other process ends.
     /// Lists from discovery that the new owner has received since the handover, as CBOR, which takes less
     /// memory.
     std::vector<std::vector<std::uint8_t>> kept_lists_;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -207,6 +207,51 @@
     EXPECT_TRUE(receives_reload());
 }
 
+// Failure: a SIGHUP that the old process had handled before the offer, and after the new one had read the
+// file, was lost: the new process stayed with the old discovery, and all notices went there.
+TEST_F(HandoverTest, TheNewProcessReadsAConfigurationThatCameBeforeTheOffer) {
+    HttpStub other_discovery;
+    node.start_ready();
+    std::optional<FalseClaim> claim(node.state());  // holds up the new process
+    node.start_successor(new_management);
+    ASSERT_TRUE(node.logs("another process owns the folder"));
+    node.config()["discovery"] = other_discovery.address();
+    node.write_config(node.config().dump());
+    ::kill(node.previous_pid(), SIGHUP);
+    ASSERT_TRUE(node.logs("configuration read anew"));
+    claim.reset();
+    ASSERT_TRUE(wait_until_ready(new_management)) << node.log();
+    stop_predecessor();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id, "safe", 400, "B", 99), "+OK");
+    Exchange request = other_discovery.next();
+    while (request.request.target() != "/reports") request = other_discovery.next();
+    EXPECT_EQ(notices(request)[0]["ref"], id);
+}
+
+// Failure: the old process took the folder back with the configuration from before a SIGHUP that the new one
+// had handled.
+TEST_F(HandoverTest, ReadsAConfigurationOfTheNewProcessAfterTakingBack) {
+    HttpStub other_discovery;
+    node.start_ready();
+    Client client = node.client();
+    ASSERT_EQ(enqueue(client, id), "+OK");
+    const Exchange in_flight = endpoint_stub.next();  // keeps the old process
+    start_replacement();
+    node.config()["discovery"] = other_discovery.address();
+    node.reload(node.config().dump());
+    ASSERT_TRUE(node.logs("configuration read anew"));
+    node.kill();
+    node.wait();
+    node.return_to_previous();
+    ASSERT_TRUE(wait_until_ready(old_management)) << node.log();
+    Client new_client = node.client();
+    ASSERT_EQ(enqueue(new_client, second, "safe", 400, "B", 99), "+OK");
+    Exchange request = other_discovery.next();
+    while (request.request.target() != "/reports") request = other_discovery.next();
+    EXPECT_EQ(notices(request)[0]["ref"], second);
+}
+
 // The list in use comes from the old process and has no revision in the new one. Changes since the revision
 // of the configuration file would therefore not yield a complete list.
 TEST_F(HandoverTest, NewProcessRequestsTheWholeList) {
