End a first command that begins late within the time that its client is owed

Callers saw the error for half a command up to 4.2 s after they had connected, where 3 s are owed: the times for the first command and for the rest of a command were counted one after the other. The new test failed before (3.8 s) and passes.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -27,7 +27,9 @@
 constexpr auto kExpiryCheckInterval = 200ms;
 constexpr auto kMaxWaitForFirstCommand = 2s;
 constexpr auto kMaxPartialCommandTime = 2s;  // the time for the rest of a command to arrive
-constexpr auto kMaxReplyWriteTime = 2s;      // the time for a client to read its reply
+// From the connect to the end of the first command: a client that sends none must have its error within 3 s.
+constexpr auto kMaxTimeToFirstCommand = 2600ms;
+constexpr auto kMaxReplyWriteTime = 2s;  // the time for a client to read its reply
 // Some clients begin a request before the last one has its reply and so are never between two requests. When
 // connections are to be closed, they are refused after this time.
 constexpr auto kMaxTimeToCloseBetweenRequests = 2s;
@@ -164,6 +166,11 @@
     }
 
     Clock::time_point state_since() const { return state_since_; }
+    /// Whether its command has been incomplete for too long.
+    bool command_overdue(Clock::time_point now) const {
+        return now - state_since_ >= kMaxPartialCommandTime ||
+               (!had_command_ && now - connected_at_ >= kMaxTimeToFirstCommand);
+    }
     std::size_t held_bytes() const { return held_bytes_; }
     /// Whether the socket has data that was not read yet. Closing now would lose
     /// a request.
@@ -243,6 +250,7 @@
         count_held();
         if ((command || parser_.has_partial_command()) && owner_.closes_at_next_request()) return refuse();
         if (command) {
+            had_command_ = true;
             set_state(State::AwaitingReply);
             return owner_.handle(*command, shared_from_this());
         }
@@ -297,7 +305,9 @@
     ClientServer& owner_;
     State state_ = State::NoCommandYet;
     ClientServer::Sessions::iterator position_;
-    Clock::time_point state_since_ = Clock::now();
+    const Clock::time_point connected_at_ = Clock::now();
+    Clock::time_point state_since_ = connected_at_;
+    bool had_command_ = false;
     resp::Parser parser_;
     std::string reply_;
     std::size_t held_bytes_ = 0, discarded_bytes_ = 0;
@@ -478,10 +488,7 @@
     while (close_oldest(
         Idle, connection_count_ > connection_limit() / 2 ? kMaxIdleTimeWhenCrowded : kMaxIdleTime))
         continue;
-    Sessions& partial = sessions_[PartialCommand];
-    while (!partial.empty() && Clock::now() - partial.front()->state_since() >= kMaxPartialCommandTime)
-        std::shared_ptr(partial.front())->reject("a command without an end");
-    while (!partial.empty() && closes_at_next_request()) std::shared_ptr(partial.front())->refuse();
+    end_overdue_commands();
     accept();  // Sessions may have become old enough to be closed for new ones.
     expiry_timer_.expires_after(kExpiryCheckInterval);
     expiry_timer_.async_wait([this](auto cancelled) {
@@ -489,6 +496,17 @@
     });
 }
 
+void ClientServer::end_overdue_commands() {
+    const Sessions partial = sessions_[PartialCommand];  // Ending a session changes the list.
+    const auto now = Clock::now();
+    for (const auto& session : partial) {
+        if (closes_at_next_request())
+            session->refuse();
+        else if (session->command_overdue(now))
+            session->reject("a command without an end");
+    }
+}
+
 void ClientServer::drain() {
     draining_ = true;
     boost::system::error_code ignored;
--- a/src/net/client_server.hpp
+++ b/src/net/client_server.hpp
@@ -95,6 +95,7 @@
     void close_inactive(State state);
     bool close_oldest(State state, Clock::duration min_age);
     void close_expired();
+    void end_overdue_commands();
     void limit_held_bytes();
     std::shared_ptr<ClientSession> session_to_reject() const;
     void handle(const resp::Command& command, const std::shared_ptr<ClientSession>& session);
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -200,6 +200,39 @@
     EXPECT_EQ(Journal(folder.path(), disk_bytes).entries().size(), 1u);
 }
 
+// A compaction while the journal is in use keeps when and where each attempt began, and whether it was
+// written.
+TEST(Journal, CompactionKeepsWhatIsKnownOfAttempts) {
+    constexpr std::size_t disk_bytes = 64 * 1024;
+    TemporaryFolder folder;
+    {
+        Journal journal(folder.path(), disk_bytes);
+        for (const MessageId id : {1, 2}) {
+            ASSERT_TRUE(journal.accept(make_message(id)));
+            ASSERT_TRUE(journal.start_attempt(id, "s-1", kNow + milliseconds(100)));
+            ASSERT_TRUE(journal.mark_attempt_written(id));
+            ASSERT_TRUE(journal.end_attempt(id, false));
+            ASSERT_TRUE(journal.start_attempt(id, "s-2", kNow + milliseconds(200)));
+        }
+        ASSERT_TRUE(journal.mark_attempt_written(2));
+        for (MessageId id = 10; id < 200; ++id) {  // compacts several times
+            ASSERT_TRUE(journal.accept(make_message(id, std::string(1000, 'b'))));
+            ASSERT_TRUE(journal.delivered(id));
+        }
+    }
+    const Journal journal(folder.path(), disk_bytes);
+    for (const MessageId id : {1, 2}) {
+        const JournalEntry& entry = *journal.find(id);
+        EXPECT_EQ(entry.attempts, 2u);
+        ASSERT_TRUE(entry.ambiguous_attempt && entry.open_attempt);
+        EXPECT_EQ(entry.ambiguous_attempt->since, kNow + milliseconds(100));
+        EXPECT_EQ(entry.ambiguous_attempt->endpoint, "s-1");
+        EXPECT_EQ(entry.open_attempt->since, kNow + milliseconds(200));
+        EXPECT_EQ(entry.open_attempt->endpoint, "s-2");
+        EXPECT_EQ(entry.open_attempt->written, id == 2);
+    }
+}
+
 TEST(Journal, AcceptsNothingBeyondItsDiskLimit) {
     constexpr std::size_t disk_bytes = 64 * 1024;
     TemporaryFolder folder;
--- a/tests/misbehaving_client_test.cpp
+++ b/tests/misbehaving_client_test.cpp
@@ -87,6 +87,21 @@
     EXPECT_EQ(well_behaved.ask({"PING"}), "+PONG");  // idle connections stay open while few are open
 }
 
+// Failure: a client that said nothing at first and then sent half a command had its error 4 s after it had
+// connected.
+TEST_F(MisbehavingClientTest, EndsALateHalfCommandWithinTheTimeThatItIsOwed) {
+    constexpr auto kMaxBadClientTime = 3s;
+    node.start_ready();
+    Client other = node.client();
+    const auto connected_at = Clock::now();
+    Client late = node.client();
+    ASSERT_EQ(enqueue(other, id, "safe", 1700, "B", 99), "+OK");
+    ASSERT_EQ(notices(next_discovery_request("/reports"))[0]["ref"], id);  // 1.7 s later
+    late.send("*1\r\n$4\r\nPI");
+    EXPECT_EQ(late.line(), "-ERR a command without an end");
+    EXPECT_LT(Clock::now() - connected_at, kMaxBadClientTime);
+}
+
 TEST_F(MisbehavingClientTest, ServesAClientAmongHundredsOfSilentOnes) {
     node.start_ready();
     std::list<Client> silent;
