Tell that a client has left by the end of its sending alone

A reset sets it too, so the other conditions of the poll are not needed, and a socket that is not connected is not taken for one whose peer has left. LeavingClientTest and DoesNotRelayRequestsOfClientsThatHaveLeft pass as before.

--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -75,7 +75,7 @@
     int count = -1;
     do count = ::poll(&entry, 1, 0);
     while (count < 0 && errno == EINTR);
-    return count == 1 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    return count == 1 && (entry.revents & POLLRDHUP) != 0;  // It is set after a reset, too.
 }
 
 }  // namespace lockgw
