--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -19,8 +19,7 @@
 
 namespace {
 
-// The pause after a failed accept, for example one that failed for lack of
-// descriptors.
+// The pause after a failed accept, for example one that failed for lack of descriptors.
 constexpr auto kAcceptRetryPause = 20ms;
 // After this many accept errors in a row, accepting pauses.
 constexpr int kMaxConsecutiveAcceptErrors = 64;
@@ -63,9 +62,8 @@
     return value;
 }
 
-/// The fields of an ENQUEUE command: names and values such as
-/// "c=notice,t=acme,d=8000". Unknown names are ignored, and the last value of a
-/// name counts. Nothing is allocated, since the text may hold thousands of
+/// The fields of an ENQUEUE command: names and values such as "c=notice,t=acme,d=8000". Unknown names are
+/// ignored, and the last value of a name counts. Nothing is allocated, since the text may hold thousands of
 /// names.
 class Fields {
 public:
@@ -99,16 +97,15 @@
     std::array<std::optional<std::string_view>, kNames.size()> values_;
 };
 
-/// The key is sent as a header of the HTTP call, so it must not contain
-/// anything that could end a header line.
+/// The key is sent as a header of the HTTP call, so it must not contain anything that could end a header
+/// line.
 void check_key(const std::string& key) {
     if (key.size() > kMaxKeyBytes) throw InvalidInput("k is too long");
     for (const char character : key)
         if (character <= ' ' || character > '~') throw InvalidInput("k holds an unprintable character");
 }
 
-/// Parses the first argument of ENQUEUE, which has up to 16 hex digits. A value
-/// of zero means no key.
+/// Parses the first argument of ENQUEUE, which has up to 16 hex digits. A value of zero means no key.
 std::optional<std::uint64_t> parse_order_key(const std::string& text) {
     constexpr std::size_t max_digits = 16;
     if (text.empty() || text.size() > max_digits ||
@@ -147,8 +144,7 @@
     return message;
 }
 
-/// One connection. It reads a command, has it handled, and writes the reply
-/// before it reads the next command.
+/// One connection. It reads a command, has it handled, and writes the reply before it reads the next command.
 class ClientSession : public std::enable_shared_from_this<ClientSession> {
 public:
     using State = ClientServer::State;
@@ -172,8 +168,7 @@
                (!had_command_ && now - connected_at_ >= kMaxTimeToFirstCommand);
     }
     std::size_t held_bytes() const { return held_bytes_; }
-    /// Whether the socket has data that was not read yet. Closing now would lose
-    /// a request.
+    /// Whether the socket has data that was not read yet. Closing now would lose a request.
     bool has_unread_data() {
         boost::system::error_code failed;
         return socket_.available(failed) > 0;
@@ -196,8 +191,8 @@
         if (!closed_) write(std::move(text));
     }
     bool client_has_left() { return closed_ || peer_has_left(socket_); }
-    /// Ends a connection between requests. All its requests have their replies,
-    /// and data that arrives from now on belongs to requests that are not read.
+    /// Ends a connection between requests. All its requests have their replies, and data that arrives from
+    /// now on belongs to requests that are not read.
     void close_gracefully() {
         closing_ = true;
         shut_down_sending();
@@ -221,15 +216,13 @@
         state_ = state;
     }
 
-    /// A waiting connection has no read buffer of its own, because many
-    /// connections send nothing.
+    /// A waiting connection has no read buffer of its own, because many connections send nothing.
     void wait_for_data() {
         if (std::exchange(waiting_for_data_, true)) return;
         socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](auto failed) {
             self->waiting_for_data_ = false;
             if (self->closed_) return;
-            // An error of the wait is ignored because the read reports the end of
-            // the connection.
+            // An error of the wait is ignored because the read reports the end of the connection.
             classify(failed) == SocketResult::Cancelled ? self->close() : self->read_available();
         });
     }
@@ -263,8 +256,7 @@
                 return close_gracefully();
             if (state_ == State::WritingReply)
                 set_state(State::Idle);  // An empty command does not restart the idle time.
-            owner_.accept();             // At the limit this connection may be closed in favor of
-                                         // one that waits.
+            owner_.accept();  // At the limit this connection may be closed in favor of one that waits.
             if (closed_) return;
         }
         wait_for_data();
@@ -287,9 +279,8 @@
         });
     }
 
-    /// Shuts down sending only. Closing the socket with data unread, or just
-    /// before data arrives, would reset the connection, and the client might lose
-    /// a reply.
+    /// Shuts down sending only. Closing the socket with data unread, or just before data arrives, would reset
+    /// the connection, and the client might lose a reply.
     void shut_down_sending() {
         set_state(State::Closing);
         boost::system::error_code ignored;
@@ -367,8 +358,8 @@
     }
     set_closing_between_requests(true);
 }
-/// Closes the descriptor without a shutdown, because the socket is shared with
-/// the other process and the platform.
+/// Closes the descriptor without a shutdown, because the socket is shared with the other process and the
+/// platform.
 void ClientServer::close_listener() {
     boost::system::error_code ignored;
     acceptor_.close(ignored);
@@ -379,16 +370,15 @@
     // ensure_capacity() may have closed a session, which calls accept() itself.
     if (accepting_) return;
     accepting_ = true;
-    // Each wait arms the event loop again, so that connections which are left in
-    // the queue after a failed accept are reported again.
+    // Each wait arms the event loop again, so that connections which are left in the queue after a failed
+    // accept are reported again.
     acceptor_.async_wait(Tcp::acceptor::wait_read, [this](auto failed) {
         accepting_ = false;
         if ((draining_ || paused_) && failed) return accept();  // The drain or the pause may be over by now.
         if (draining_ || paused_ || !acceptor_.is_open()) return;
         const SocketResult result = accept_one();
         const bool no_error = result == SocketResult::Done || result == SocketResult::NotReady;
-        // The error may concern only the connection that was to be accepted, and
-        // others may wait behind it.
+        // The error may concern only the connection that was to be accepted, and others may wait behind it.
         if (no_error || (result != SocketResult::LocalShortage &&
                             ++consecutive_accept_errors_ < kMaxConsecutiveAcceptErrors))
             return accept();
@@ -412,8 +402,7 @@
     return SocketResult::Done;
 }
 
-/// If the event loop lacks memory for one more connection, the connection is
-/// retried later and not closed.
+/// If the event loop lacks memory for one more connection, the connection is retried later and not closed.
 void ClientServer::start_session(const std::shared_ptr<Descriptor>& connection) {
     Tcp::socket socket(io_);
     boost::system::error_code failed;
@@ -432,10 +421,9 @@
     return max_connections_ - std::min(reserved_connections_, max_connections_ / 2);
 }
 
-/// Returns whether one more connection may be accepted. At the limit it closes
-/// the oldest connection that has got its last reply or has no request.
-/// Connections that have sent half a command or were just opened are the last
-/// choice, and a connection with an open request is never closed.
+/// Returns whether one more connection may be accepted. At the limit it closes the oldest connection that has
+/// got its last reply or has no request. Connections that have sent half a command or were just opened are
+/// the last choice, and a connection with an open request is never closed.
 bool ClientServer::ensure_capacity() {
     if (connection_count_ < connection_limit()) return true;
     return close_oldest(Closing, 0s) || close_oldest(NoCommandYet, kNewConnectionGrace) ||
@@ -443,9 +431,9 @@
            close_oldest(PartialCommand, kMaxPartialCommandTime / 4) || close_oldest(Idle, 0s) ||
            close_oldest(NoCommandYet, 0s);
 }
-/// Closes the session that has been longest in the state, if it has been there
-/// for `min_age`. Sessions without a request are skipped if they have unread
-/// data, unless they have failed to send a first command in time.
+/// Closes the session that has been longest in the state, if it has been there for `min_age`. Sessions
+/// without a request are skipped if they have unread data, unless they have failed to send a first command in
+/// time.
 bool ClientServer::close_oldest(State state, Clock::duration min_age) {
     for (const auto& session : sessions_[state]) {
         const auto age = Clock::now() - session->state_since();
@@ -460,8 +448,7 @@
     return false;
 }
 
-/// Many clients that each send half of a long command must not exhaust the
-/// memory.
+/// Many clients that each send half of a long command must not exhaust the memory.
 void ClientServer::limit_held_bytes() {
     const std::size_t max_bytes = config_.memory_bytes / kPartialCommandMemoryDivisor;
     while (held_bytes_ > max_bytes) {
@@ -479,8 +466,7 @@
     return found != partial.end() ? *found : nullptr;
 }
 
-/// Runs periodically and ends the sessions that have been in their state for
-/// too long.
+/// Runs periodically and ends the sessions that have been in their state for too long.
 void ClientServer::close_expired() {
     while (close_oldest(NoCommandYet, kMaxWaitForFirstCommand)) continue;
     while (close_oldest(WritingReply, kMaxReplyWriteTime)) continue;
@@ -516,9 +502,8 @@
     close_inactive(NoCommandYet);
 }
 
-/// While accept fails for lack of a resource, connections may wait in the queue
-/// with requests already sent, so the listener stays open until the queue is
-/// empty.
+/// While accept fails for lack of a resource, connections may wait in the queue with requests already sent,
+/// so the listener stays open until the queue is empty.
 void ClientServer::close_listener_when_empty() {
     if (!acceptor_.is_open()) return;
     if (paused_ || accept_waiting()) return close_listener();
@@ -550,9 +535,8 @@
             session->close_gracefully();
 }
 
-/// Accepts all connections that wait in the queue, because closing the listener
-/// would reset them and lose the requests that they have sent. Returns false if
-/// some may be left that cannot be accepted at present.
+/// Accepts all connections that wait in the queue, because closing the listener would reset them and lose the
+/// requests that they have sent. Returns false if some may be left that cannot be accepted at present.
 bool ClientServer::accept_waiting() {
     int errors = 0;
     while (connection_count_ < connection_limit()) {
